Failures are set against the least in the group, not the fleet's median: one-sided trouble found

Cause: where over half of the servers fail one gatherer, the fleet's median share of failures is itself high, and no server stands out by a quarter over it. Now a server is set against the group's least.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,7 +22,7 @@
 	holdLimit = 1      // our parts out at a server from which extras wait; the design starts at two
 	overS     = 2.0    // the design's "over twice s", for records and for the skip
 	patience  = 4.0    // yardsticks after which a part out no longer counts on the way
-	badShare  = 0.25   // share of failures over the fleet's from which turns pass a server by
+	badShare  = 0.25   // share of failures over the group's least from which turns pass a server by
 	unsound   = 0.02   // records that a server gets for nothing, so that one that answers none is not ruled out
 	crowd     = 1.0    // parts more than at the emptiest replica with which turns pass a server by
 	callParts = 4      // parts that one turn takes along where calls cost; more would queue behind each other
@@ -112,7 +112,7 @@
 	holders [][]int // by shard modulo groups, as turns
 	turns   []turn
 
-	soft, normal, common float64 // the shortest soft deadline; the median s, and the median doubt
+	soft, normal float64 // the shortest soft deadline; the median s
 	expected             float64 // latency of a part landing now
 	sentExtras, dropped  float64 // decaying over span
 	budget               float64
@@ -295,7 +295,7 @@
 	// The taken are counted over a tick less and the sent over a tick more, against rounding at the edges.
 	g.taken, g.further = g.since(g.taken, length-g.tick()), g.since(g.further, length+g.tick())
 	g.budget = free + share*float64(len(g.taken))
-	var proven, doubts, landing []float64
+	var proven, landing []float64
 	for shd := range g.ids {
 		g.rate[shd] *= fade
 		old := 0
@@ -326,7 +326,6 @@
 		if g.state[shd] != gather.Running {
 			continue
 		}
-		doubts = append(doubts, g.doubt[shd])
 		if passed > 0 {
 			proven = append(proven, g.s[shd])
 		}
@@ -336,7 +335,7 @@
 		}
 	}
 	g.expected = median(landing, 0)
-	g.normal, g.common = median(proven, g.soft/10), median(doubts, 0)
+	g.normal = median(proven, g.soft/10)
 }
 
 func median(values []float64, otherwise float64) float64 {
@@ -604,24 +603,29 @@
 }
 
 // skipped reports whether the turns pass a server by: the design's companion first. Then one whose share of
-// failures stands out; its records run out in a span, and it is tried again by one part at a time.
-func (g *Gatherer) skipped(shd int) bool {
+// failures stands out among the group's replicas, not the fleet's: against half a fleet that fails this gatherer
+// alone. Its records run out, and it is tried again by one part at a time.
+func (g *Gatherer) skipped(shd int, common float64) bool {
 	c := g.last[shd]
 	return c != nil && !c.ended && (g.now-c.at > overS*g.s[shd] || len(g.records[shd]) == 0) ||
-		g.doubt[shd] > badShare+g.common
+		g.doubt[shd] > badShare+common
 }
 
 // peek gives the replica whose turn it is, or -1; where all are skipped, the one that is least bad.
 func (g *Gatherer) peek(p *part) int {
 	base := p.Shard % len(g.turns)
-	if tn := &g.turns[base]; tn.at == g.now && tn.left > 0 && g.usable(tn.shd, p) && !g.skipped(tn.shd) {
+	common := math.Inf(1)
+	for _, shd := range g.holders[base] {
+		common = min(common, g.doubt[shd])
+	}
+	if tn := &g.turns[base]; tn.at == g.now && tn.left > 0 && g.usable(tn.shd, p) && !g.skipped(tn.shd, common) {
 		return tn.shd
 	}
 	best, least := -1, math.Inf(1)
 	n := len(g.holders[base])
 	emptiest := math.Inf(1)
 	for _, shd := range g.holders[base] {
-		if g.usable(shd, p) && !g.skipped(shd) {
+		if g.usable(shd, p) && !g.skipped(shd, common) {
 			emptiest = min(emptiest, float64(len(g.out[shd])))
 		}
 	}
@@ -633,7 +637,7 @@
 			continue
 		}
 		// Against a queue that grows where turns alone send as much to a slow replica as to a fast one.
-		if !g.skipped(shd) && float64(len(g.out[shd])) <= emptiest+crowd {
+		if !g.skipped(shd, common) && float64(len(g.out[shd])) <= emptiest+crowd {
 			return shd
 		}
 		// Against herding in a jam: a server that turns parts away at once has a low s and nothing out.
