--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,6 +46,7 @@
 }
 
 type call struct {
+	part  *part
 	shd   int
 	at    float64
 	ended bool
@@ -112,11 +113,11 @@
 	holders [][]int // by shard modulo groups, as turns
 	turns   []turn
 
-	soft, normal float64 // the shortest soft deadline; the median s
-	expected             float64 // latency of a part landing now
-	sentExtras, dropped  float64 // decaying over span
-	budget               float64
-	taken, further       []float64 // times of lookups and parts taken, and of further part calls
+	soft, normal        float64 // the shortest soft deadline; the median s
+	expected            float64 // latency of a part landing now
+	sentExtras, dropped float64 // decaying over span
+	budget              float64
+	taken, further      []float64 // times of lookups and parts taken, and of further part calls
 
 	seen          map[string]float64 // lookups by customer, decaying over span
 	held          []*lookup
@@ -315,6 +316,15 @@
 			}
 		}
 		n := float64(len(g.records[shd]))
+		// A part out over twice s has failed by the design's own word, before it ends: against learning of a
+		// server that answers nothing only when lookups are given up.
+		for _, c := range g.out[shd] {
+			if late := g.now - c.at - overS*g.yard(shd, c.part); late > 0 {
+				n++
+				failed++
+				extra += late
+			}
+		}
 		g.s[shd], g.f[shd], g.r[shd], g.doubt[shd] = g.soft/10, failed/max(n, 1), g.soft/2, failed/(n+2)
 		g.sound[shd] = (passed + unsound) / (n + unsound)
 		if passed > 0 {
@@ -664,7 +674,7 @@
 			tn.left = min(callParts, int(g.terms.Num("parts a call"))) - 1
 		}
 	}
-	c := &call{shd: shd, at: g.now}
+	c := &call{part: p, shd: shd, at: g.now}
 	p.calls = append(p.calls, c)
 	g.out[shd], g.last[shd] = append(g.out[shd], c), c
 	g.rate[shd]++
