Last four records kept for 25 s where the window holds fewer: all three up 0.04 to 0.055

A busy gatherer keeps its five seconds. Also covers any trouble longer than a window as a small gatherer sees it; harms when a server has mended: a small gatherer shuns it up to 25 s, others do not.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -17,24 +17,26 @@
 )
 
 const (
-	span      = 5000.0 // the design's window of records
-	clamp     = 0.9    // the design's ceiling on L·s
-	holdLimit = 1      // our parts out at a server from which extras wait; the design starts at two
-	overS     = 2.0    // the design's "over twice s", for records and for the skip
-	patience  = 4.0    // yardsticks after which a part out no longer counts on the way
-	badShare  = 0.25   // share of failures over the group's least from which turns pass a server by
-	unsound   = 0.02   // records that a server gets for nothing, so that one that answers none is not ruled out
-	crowd     = 1.0    // parts more than at the emptiest replica with which turns pass a server by
-	callParts = 4      // parts that one turn takes along where calls cost; more would queue behind each other
-	sparing   = 0.6    // the part of the budget that second copies may use; lost parts have the rest
-	ageing    = 1.5    // mean age of parts out to their expected latency
-	noCopies  = 0.4    // median expected latency over the soft deadline from which no copies are made
-	jamFrom   = 0.35   // slowest part's expected latency over the soft deadline: refusals start here,
-	jamFull   = 0.8    // and here all are refused
-	local     = 2.0    // medians of the fleet's expected latency that a lookup's slowest part may count
-	overMost  = 1.3    // most that a customer over its quota counts
-	comeBack  = 400.0  // shortest advice to a nacked client
-	eps       = 5e-5   // weights come rounded
+	span      = 5000.0  // the design's window of records
+	enough    = 4       // records kept beyond the window, against a gatherer too small to fill it,
+	memory    = 25000.0 // for so long
+	clamp     = 0.9     // the design's ceiling on L·s
+	holdLimit = 1       // our parts out at a server from which extras wait; the design starts at two
+	overS     = 2.0     // the design's "over twice s", for records and for the skip
+	patience  = 4.0     // yardsticks after which a part out no longer counts on the way
+	badShare  = 0.25    // share of failures over the group's least from which turns pass a server by
+	unsound   = 0.02    // records that a server gets for nothing, so that one that answers none is not ruled out
+	crowd     = 1.0     // parts more than at the emptiest replica with which turns pass a server by
+	callParts = 4       // parts that one turn takes along where calls cost; more would queue behind each other
+	sparing   = 0.6     // the part of the budget that second copies may use; lost parts have the rest
+	ageing    = 1.5     // mean age of parts out to their expected latency
+	noCopies  = 0.4     // median expected latency over the soft deadline from which no copies are made
+	jamFrom   = 0.35    // slowest part's expected latency over the soft deadline: refusals start here,
+	jamFull   = 0.8     // and here all are refused
+	local     = 2.0     // medians of the fleet's expected latency that a lookup's slowest part may count
+	overMost  = 1.3     // most that a customer over its quota counts
+	comeBack  = 400.0   // shortest advice to a nacked client
+	eps       = 5e-5    // weights come rounded
 
 	// Further part calls where no budget is set, so that resends never feed a jam.
 	ownFree, ownShare, ownSpan = 10.0, 0.1, 5000.0
@@ -300,7 +302,8 @@
 	for shd := range g.ids {
 		g.rate[shd] *= fade
 		old := 0
-		for old < len(g.records[shd]) && g.records[shd][old].at < g.now-span {
+		for old < len(g.records[shd]) && (g.records[shd][old].at < g.now-memory ||
+			len(g.records[shd]) > old+enough && g.records[shd][old].at < g.now-span) {
 			old++
 		}
 		g.records[shd] = g.records[shd][old:]
