--- a/logic/logic.go
+++ b/logic/logic.go
@@ -18,8 +18,8 @@
 
 const (
 	span      = 5000.0  // the design's window of records
-	enough    = 8       // records kept beyond the window, against a gatherer too small to fill it,
-	memory    = 40000.0 // for so long
+	enough    = 4       // records kept beyond the window, against a gatherer too small to fill it,
+	memory    = 25000.0 // for so long
 	clamp     = 0.9     // the design's ceiling on L·s
 	holdLimit = 1       // our parts out at a server from which extras wait; the design starts at two
 	overS     = 2.0     // the design's "over twice s", for records and for the skip
