Cold servers earn parts by what warm ones are seen to answer: restarts at size less idle

Cause: turns of one gatherer each over one fall time leave most of fifty gatherers without one while the server warms, and the same low numbers have them whatever their traffic. Now each gatherer sends a cold server the cold share of what it sees a warm one answer; over all gatherers, however uneven, that adds up to the cold share of what a warm one carries, of which the rule allows two or three times as much. The own number still orders the turns: it says how much of its first part a gatherer starts with, a different one first at each server. Also covers preemption in waves; harms where a fresh server is sick: it goes first.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,6 +35,7 @@
 	jamFull   = 0.8     // and here all are refused
 	local     = 2.0     // medians of the fleet's expected latency that a lookup's slowest part may count
 	overMost  = 1.3     // most that a customer over its quota counts
+	hoard     = 2.0     // most parts that a cold server may be owed, against a burst of many gatherers
 	comeBack  = 400.0   // shortest advice to a nacked client
 	eps       = 5e-5    // weights come rounded
 
@@ -110,7 +111,7 @@
 	rate, s, f, r []float64
 	doubt         []float64 // f with two good records added, so that one bad part proves nothing
 	sound         []float64 // share of parts answered, late or not
-	turnNo, spent []float64 // the cold turn under way, and the work sent in it
+	credit        []float64 // parts that a cold server may still be sent
 
 	holders [][]int // by shard modulo groups, as turns
 	turns   []turn
@@ -119,6 +120,8 @@
 	expected            float64 // latency of a part landing now
 	sentExtras, dropped float64 // decaying over span
 	budget              float64
+	carried, warm       float64   // parts answered by warm servers since the last round, and how many are warm
+	elapsed             float64   // since the last round
 	taken, further      []float64 // times of lookups and parts taken, and of further part calls
 
 	seen          map[string]float64 // lookups by customer, decaying over span
@@ -136,6 +139,7 @@
 	for _, name := range terms.Names("indexes") {
 		g.soft = min(g.soft, g.index(name).soft)
 	}
+	g.normal = g.soft / 10
 	return g
 }
 
@@ -146,6 +150,9 @@
 	for customer := range g.seen {
 		g.seen[customer] *= fade
 	}
+	if g.now > 0 {
+		g.elapsed = min(in.Now-g.now, span)
+	}
 	g.now, g.w = in.Now, w
 	for i := range in.Lists {
 		g.follow(&in.Lists[i])
@@ -220,13 +227,15 @@
 				g.records, g.out, g.last = append(g.records, nil), append(g.out, nil), append(g.last, nil)
 				g.rate, g.doubt, g.sound = append(g.rate, 0), append(g.doubt, 0), append(g.sound, 1)
 				g.s, g.f, g.r = append(g.s, 0), append(g.f, 0), append(g.r, 0)
-				g.turnNo, g.spent = append(g.turnNo, -1), append(g.spent, 0)
+				g.credit = append(g.credit, 0)
 			}
 			g.dense[e.ID], g.ids[shd] = shd, e.ID
 		}
 		if !known || e.Started != g.started[shd] {
 			// Against judging a new process by what the one before it did.
-			g.records[shd], g.last[shd], g.turnNo[shd], g.rate[shd] = nil, nil, -1, 0
+			g.records[shd], g.last[shd], g.rate[shd] = nil, nil, 0
+			gatherers := max(g.terms.Num("gatherers"), 1)
+			g.credit[shd] = math.Mod(g.terms.Num("own number")+float64(e.ID%1024), gatherers) / gatherers
 		}
 		g.groups[shd], g.state[shd], g.started[shd] = e.Group, e.State, e.Started
 	}
@@ -263,6 +272,9 @@
 		g.records[c.shd] = append(g.records[c.shd], record{at: g.now, latency: waited, extra: waited - limit/overS,
 			passed: true, failed: waited > limit})
 		p.in = true
+		if g.coldShare(c.shd) == 1 {
+			g.carried++
+		}
 	case e.Outcome == gather.Stale || e.Outcome == gather.CalledOff && waited <= limit:
 		// Says nothing of the server: we ended it ourselves, before it could be called slow.
 	default:
@@ -299,6 +311,7 @@
 	g.taken, g.further = g.since(g.taken, length-g.tick()), g.since(g.further, length+g.tick())
 	g.budget = free + share*float64(len(g.taken))
 	var proven, landing []float64
+	warm := 0.0
 	for shd := range g.ids {
 		g.rate[shd] *= fade
 		old := 0
@@ -339,6 +352,11 @@
 		if g.state[shd] != gather.Running {
 			continue
 		}
+		if g.coldShare(shd) == 1 {
+			warm++
+		} else {
+			g.earn(shd)
+		}
 		if passed > 0 {
 			proven = append(proven, g.s[shd])
 		}
@@ -347,7 +365,7 @@
 			landing = append(landing, g.landing(shd))
 		}
 	}
-	g.expected = median(landing, 0)
+	g.carried, g.warm, g.expected = 0, warm, median(landing, 0)
 	g.normal = median(proven, g.soft/10)
 }
 
@@ -580,29 +598,23 @@
 	return float64(len(g.further)+1) <= budget
 }
 
-// coldWork is the work that a cold server may still be sent in this gatherer's turn; gatherers take turns by
-// their own number on the clock of the server's start. A turn is as long as the fall time and half of what
-// the rule allows may be spent in it, so that no window across a change of turn holds more than the whole.
-// The capacity is taken as one core at full speed, since it is told nowhere.
-func (g *Gatherer) coldWork(shd int) float64 {
-	age, cold, fall := g.now-g.started[shd], g.terms.Num("cold time"), g.terms.Num("fall time")
-	if g.started[shd] == 0 || age >= cold || fall == 0 {
-		return math.Inf(1)
-	}
-	turn := math.Floor(max(age, 0) / fall)
-	if int(turn)%max(int(g.terms.Num("gatherers")), 1) != int(g.terms.Num("own number")) {
-		return 0
-	}
-	if g.turnNo[shd] != turn {
-		g.turnNo[shd], g.spent[shd] = turn, 0
+// coldShare is the least share of its capacity that a server can have by now.
+func (g *Gatherer) coldShare(shd int) float64 {
+	from, age, cold := g.terms.Num("cold share"), g.now-g.started[shd], g.terms.Num("cold time")
+	if g.started[shd] == 0 || age >= cold || g.terms.Num("fall time") == 0 {
+		return 1
 	}
-	from := g.terms.Num("cold share")
-	share := from + (1-from)*turn*fall/cold
-	return g.terms.Num("fall multiple")*share*fall/2 - g.spent[shd]
+	return from + (1-from)*max(age, 0)/cold
 }
 
-func (g *Gatherer) workOf(p *part) float64 {
-	return cmp.Or(max(p.Cost, p.lk.ix.cost), g.normal) + g.terms.Num("call cost")
+// earn lets a cold server be sent its share of what this gatherer has seen a warm one answer. Over all gatherers,
+// however uneven, that adds up to the cold share of what a warm one carries, where the rule allows a multiple of
+// it. A gatherer's number says how much of its first part it starts with: so they take turns at a fresh
+// server, each server with another one first. Where nothing is warm, a quarter of what the rule allows, for
+// one core, is shared out evenly.
+func (g *Gatherer) earn(shd int) {
+	least := g.terms.Num("fall multiple") / 4 * g.elapsed / g.normal / max(g.terms.Num("gatherers"), 1)
+	g.credit[shd] = min(g.credit[shd]+g.coldShare(shd)*max(g.carried/max(g.warm, 1), least), hoard)
 }
 
 // usable reports whether a server may be sent the part at all.
@@ -612,7 +624,7 @@
 			return false // the same server would only answer the same again
 		}
 	}
-	return g.coldWork(shd) >= g.workOf(p)
+	return g.coldShare(shd) == 1 || g.credit[shd] >= 1
 }
 
 // skipped reports whether the turns pass a server by: the design's companion first. Then one whose share of
@@ -646,7 +658,7 @@
 	// would leave it idle while it warms, and whoever stands in for it crowded.
 	for i := range 2 * n {
 		shd := g.holders[base][(g.turns[base].next+i)%n]
-		if !g.usable(shd, p) || i < n && math.IsInf(g.coldWork(shd), 1) {
+		if !g.usable(shd, p) || i < n && g.coldShare(shd) == 1 {
 			continue
 		}
 		// Against a queue that grows where turns alone send as much to a slow replica as to a fast one.
@@ -681,7 +693,7 @@
 	p.calls = append(p.calls, c)
 	g.out[shd], g.last[shd] = append(g.out[shd], c), c
 	g.rate[shd]++
-	g.spent[shd] += g.workOf(p)
+	g.credit[shd]--
 	if further {
 		g.further = append(g.further, g.now)
 	} else if p.extra {
