--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,6 +35,7 @@
 	jamFull   = 0.8     // and here all are refused
 	local     = 2.0     // medians of the fleet's expected latency that a lookup's slowest part may count
 	overMost  = 1.3     // most that a customer over its quota counts
+	coldPush  = 0.6     // part of what the rule allows that cold servers are sent where warm ones are full
 	hoard     = 2.0     // most parts that a cold server may be owed, against a burst of many gatherers
 	comeBack  = 400.0   // shortest advice to a nacked client
 	eps       = 5e-5    // weights come rounded
@@ -607,14 +608,14 @@
 	return from + (1-from)*max(age, 0)/cold
 }
 
-// earn lets a cold server be sent its share of what this gatherer has seen a warm one answer. Over all gatherers,
-// however uneven, that adds up to the cold share of what a warm one carries, where the rule allows a multiple of
-// it. A gatherer's number says how much of its first part it starts with: so they take turns at a fresh
-// server, each server with another one first. Where nothing is warm, a quarter of what the rule allows, for
-// one core, is shared out evenly.
+// earn lets a cold server be sent its share of what this gatherer has seen a warm one answer, over all gatherers,
+// however uneven, at most so much of what the rule allows. A gatherer's number says how much of its first part it
+// starts with: so they take turns at a fresh server, each server with another one first. Where nothing is
+// warm, a quarter of what the rule allows for one core is shared out evenly.
 func (g *Gatherer) earn(shd int) {
-	least := g.terms.Num("fall multiple") / 4 * g.elapsed / g.normal / max(g.terms.Num("gatherers"), 1)
-	g.credit[shd] = min(g.credit[shd]+g.coldShare(shd)*max(g.carried/max(g.warm, 1), least), hoard)
+	least := g.elapsed / g.normal / 4 / max(g.terms.Num("gatherers"), 1)
+	earned := g.terms.Num("fall multiple") * g.coldShare(shd) * max(coldPush*g.carried/max(g.warm, 1), least)
+	g.credit[shd] = min(g.credit[shd]+earned, hoard)
 }
 
 // usable reports whether a server may be sent the part at all.
