--- a/logic/logic.go
+++ b/logic/logic.go
@@ -112,7 +112,6 @@
 	rate, s, f, r []float64
 	doubt         []float64 // f with two good records added, so that one bad part proves nothing
 	sound         []float64 // share of parts answered, late or not
-	newest        []float64 // when the last-sent of the parts answered was sent
 	credit        []float64 // parts that a cold server may still be sent
 
 	holders [][]int // by shard modulo groups, as turns
@@ -229,13 +228,13 @@
 				g.records, g.out, g.last = append(g.records, nil), append(g.out, nil), append(g.last, nil)
 				g.rate, g.doubt, g.sound = append(g.rate, 0), append(g.doubt, 0), append(g.sound, 1)
 				g.s, g.f, g.r = append(g.s, 0), append(g.f, 0), append(g.r, 0)
-				g.credit, g.newest = append(g.credit, 0), append(g.newest, 0)
+				g.credit = append(g.credit, 0)
 			}
 			g.dense[e.ID], g.ids[shd] = shd, e.ID
 		}
 		if !known || e.Started != g.started[shd] {
 			// Against judging a new process by what the one before it did.
-			g.records[shd], g.last[shd], g.rate[shd], g.newest[shd] = nil, nil, 0, 0
+			g.records[shd], g.last[shd], g.rate[shd] = nil, nil, 0
 			gatherers := max(g.terms.Num("gatherers"), 1)
 			g.credit[shd] = math.Mod(g.terms.Num("own number")+float64(e.ID%1024), gatherers) / gatherers
 		}
@@ -274,7 +273,6 @@
 		g.records[c.shd] = append(g.records[c.shd], record{at: g.now, latency: waited, extra: waited - limit/overS,
 			passed: true, failed: waited > limit})
 		p.in = true
-		g.newest[c.shd] = max(g.newest[c.shd], c.at)
 		if g.coldShare(c.shd) == 1 {
 			g.carried++
 		}
@@ -458,19 +456,13 @@
 // landing is the expected latency of a part that lands at a server now. s tells it only from parts that have
 // ended, seconds late once a queue grows; the age of those still out tells sooner.
 func (g *Gatherer) landing(shd int) float64 {
-	age, waiting := 0.0, 0.0
+	age := 0.0
 	for _, c := range g.out[shd] {
-		if !g.overtaken(c) { // against taking parts that got lost for a queue
-			age += g.now - c.at
-			waiting++
-		}
+		age += g.now - c.at
 	}
-	return max(g.s[shd], ageing*age/max(waiting, 1))
+	return max(g.s[shd], ageing*age/float64(max(len(g.out[shd]), 1)))
 }
 
-// overtaken reports whether the server has answered a part that was sent after this one.
-func (g *Gatherer) overtaken(c *call) bool { return c.at < g.newest[c.shd] }
-
 // jammed tells whether a landing lookup should be refused: its slowest part would take so much of its soft
 // deadline that the lookup would only delay others. Nothing has been sent yet, so any index may be nacked.
 func (g *Gatherer) jammed(lk *lookup) bool {
