--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,7 +30,7 @@
 	callParts = 4       // parts that one turn takes along where calls cost; more would queue behind each other
 	sparing   = 0.6     // the part of the budget that second copies may use; lost parts have the rest
 	ageing    = 1.5     // mean age of parts out to their expected latency
-	noCopies  = 0.4     // median expected latency over the soft deadline from which no copies are made
+	noCopies  = 0.3     // usual latency of a call over the soft deadline from which no copies are made
 	jamFrom   = 0.35    // slowest part's expected latency over the soft deadline: refusals start here,
 	jamFull   = 0.8     // and here all are refused
 	local     = 2.0     // medians of the fleet's expected latency that a lookup's slowest part may count
@@ -119,6 +119,7 @@
 
 	soft, normal        float64 // the shortest soft deadline; the median s
 	expected            float64 // latency of a part landing now
+	usual               float64 // latency of a part call, from those out and those lately answered
 	sentExtras, dropped float64 // decaying over span
 	budget              float64
 	carried, warm       float64   // parts answered by warm servers since the last round, and how many are warm
@@ -311,7 +312,7 @@
 	// The taken are counted over a tick less and the sent over a tick more, against rounding at the edges.
 	g.taken, g.further = g.since(g.taken, length-g.tick()), g.since(g.further, length+g.tick())
 	g.budget = free + share*float64(len(g.taken))
-	var proven, landing []float64
+	var proven, landing, calls []float64
 	warm := 0.0
 	for shd := range g.ids {
 		g.rate[shd] *= fade
@@ -324,6 +325,9 @@
 		var passed, failed, latency, extra float64
 		for _, rec := range g.records[shd] {
 			if rec.passed {
+				if rec.at > g.now-g.soft {
+					calls = append(calls, rec.latency)
+				}
 				passed++
 				latency += rec.latency
 			}
@@ -336,6 +340,7 @@
 		// A part out over twice s has failed by the design's own word, before it ends: against learning of a
 		// server that answers nothing only when lookups are given up.
 		for _, c := range g.out[shd] {
+			calls = append(calls, ageing*(g.now-c.at))
 			if late := g.now - c.at - overS*g.yard(shd, c.part); late > 0 {
 				n++
 				failed++
@@ -366,6 +371,7 @@
 			landing = append(landing, g.landing(shd))
 		}
 	}
+	g.usual = median(calls, 0)
 	g.carried, g.warm, g.expected = 0, warm, median(landing, 0)
 	g.normal = median(proven, g.soft/10)
 }
@@ -591,7 +597,7 @@
 	}
 	budget := g.budget
 	if outs == 1 {
-		if g.expected > noCopies*p.lk.ix.soft {
+		if g.usual > noCopies*p.lk.ix.soft {
 			return false // against copies feeding the jam that made their parts late
 		}
 		budget *= sparing
