--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,7 +33,7 @@
 	noCopies  = 0.3     // usual latency of a call over the soft deadline from which no copies are made
 	jamFrom   = 0.35    // slowest part's expected latency over the soft deadline: refusals start here,
 	jamFull   = 0.8     // and here all are refused
-	local     = 2.0     // medians of the fleet's expected latency that a lookup's slowest part may count
+	local     = 3.0     // usual latencies of a call that a lookup's slowest part may count
 	overMost  = 1.3     // most that a customer over its quota counts
 	coldPush  = 0.6     // part of what the rule allows that cold servers are sent where warm ones are full
 	hoard     = 2.0     // most parts that a cold server may be owed, against a burst of many gatherers
@@ -118,7 +118,6 @@
 	turns   []turn
 
 	soft, normal        float64 // the shortest soft deadline; the median s
-	expected            float64 // latency of a part landing now
 	usual               float64 // latency of a part call, from those out and those lately answered
 	sentExtras, dropped float64 // decaying over span
 	budget              float64
@@ -312,7 +311,7 @@
 	// The taken are counted over a tick less and the sent over a tick more, against rounding at the edges.
 	g.taken, g.further = g.since(g.taken, length-g.tick()), g.since(g.further, length+g.tick())
 	g.budget = free + share*float64(len(g.taken))
-	var proven, landing, calls []float64
+	var proven, calls []float64
 	warm := 0.0
 	for shd := range g.ids {
 		g.rate[shd] *= fade
@@ -366,13 +365,9 @@
 		if passed > 0 {
 			proven = append(proven, g.s[shd])
 		}
-		// Against a partial view: of many gatherers, each has nothing out at most servers of a jammed fleet.
-		if len(g.out[shd]) > 0 {
-			landing = append(landing, g.landing(shd))
-		}
 	}
 	g.usual = median(calls, 0)
-	g.carried, g.warm, g.expected = 0, warm, median(landing, 0)
+	g.carried, g.warm = 0, warm
 	g.normal = median(proven, g.soft/10)
 }
 
@@ -487,7 +482,7 @@
 	if lk.Retry { // against clients that come again at once: part of its soft deadline is spent, and others wait
 		over = overMost
 	}
-	slowest = min(slowest, local*g.expected) // against refusing much for one crowded group of a calm fleet
+	slowest = min(slowest, local*g.usual) // against refusing much for one crowded group of a calm fleet
 	return (over*slowest/lk.ix.soft-jamFrom)/(jamFull-jamFrom) > g.chance.Float64()
 }
 
