--- a/logic/logic.go
+++ b/logic/logic.go
@@ -339,7 +339,7 @@
 		// A part out over twice s has failed by the design's own word, before it ends: against learning of a
 		// server that answers nothing only when lookups are given up.
 		for _, c := range g.out[shd] {
-			calls = append(calls, ageing*(g.now-c.at))
+			calls = append(calls, max(g.s[shd], ageing*(g.now-c.at)))
 			if late := g.now - c.at - overS*g.yard(shd, c.part); late > 0 {
 				n++
 				failed++
