--- a/logic/logic.go
+++ b/logic/logic.go
@@ -629,30 +629,34 @@
 	return g.coldShare(shd) == 1 || g.credit[shd] >= 1
 }
 
-// skipped reports whether the turns pass a server by: the design's companion first. Then one whose share of
-// failures stands out among the group's replicas, not the fleet's: against half a fleet that fails this gatherer
-// alone. Its records run out, and it is tried again by one part at a time.
-func (g *Gatherer) skipped(shd int, common float64) bool {
+// standsOut reports whether a server's share of failures stands out among the replicas of the part's group, not
+// the fleet: against half a fleet that fails this gatherer alone, and against blaming anyone for a jam.
+func (g *Gatherer) standsOut(shd int, p *part) bool {
+	least := math.Inf(1)
+	for _, other := range g.holders[p.Shard%len(g.holders)] {
+		least = min(least, g.doubt[other])
+	}
+	return g.doubt[shd] > badShare+least
+}
+
+// skipped reports whether the turns pass a server by: the design's companion first. Then one whose failures stand
+// out; its records run out, and it is tried again by one part at a time.
+func (g *Gatherer) skipped(shd int, p *part) bool {
 	c := g.last[shd]
-	return c != nil && !c.ended && (g.now-c.at > overS*g.s[shd] || len(g.records[shd]) == 0) ||
-		g.doubt[shd] > badShare+common
+	return c != nil && !c.ended && (g.now-c.at > overS*g.s[shd] || len(g.records[shd]) == 0) || g.standsOut(shd, p)
 }
 
 // peek gives the replica whose turn it is, or -1; where all are skipped, the one that is least bad.
 func (g *Gatherer) peek(p *part) int {
 	base := p.Shard % len(g.turns)
-	common := math.Inf(1)
-	for _, shd := range g.holders[base] {
-		common = min(common, g.doubt[shd])
-	}
-	if tn := &g.turns[base]; tn.at == g.now && tn.left > 0 && g.usable(tn.shd, p) && !g.skipped(tn.shd, common) {
+	if tn := &g.turns[base]; tn.at == g.now && tn.left > 0 && g.usable(tn.shd, p) && !g.skipped(tn.shd, p) {
 		return tn.shd
 	}
 	best, least := -1, math.Inf(1)
 	n := len(g.holders[base])
 	emptiest := math.Inf(1)
 	for _, shd := range g.holders[base] {
-		if g.usable(shd, p) && !g.skipped(shd, common) {
+		if g.usable(shd, p) && !g.skipped(shd, p) {
 			emptiest = min(emptiest, float64(len(g.out[shd])))
 		}
 	}
@@ -664,7 +668,7 @@
 			continue
 		}
 		// Against a queue that grows where turns alone send as much to a slow replica as to a fast one.
-		if !g.skipped(shd, common) && float64(len(g.out[shd])) <= emptiest+crowd {
+		if !g.skipped(shd, p) && float64(len(g.out[shd])) <= emptiest+crowd {
 			return shd
 		}
 		// Against herding in a jam: a server that turns parts away at once has a low s and nothing out.
