Last missing parts are copied even in a jam; own budget from three further calls instead of ten

Cause: 12 parts of a lookup done and one at a dead server is all work lost, and in a jam copies are barred; but ten free further calls in five seconds are a quarter of what a small gatherer sends, and feed the jam. The bar now weighs the share of parts missing.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,7 +41,7 @@
 	eps       = 5e-5    // weights come rounded
 
 	// Further part calls where no budget is set, so that resends never feed a jam.
-	ownFree, ownShare, ownSpan = 10.0, 0.1, 5000.0
+	ownFree, ownShare, ownSpan = 3.0, 0.1, 5000.0
 )
 
 type record struct {
@@ -540,7 +540,7 @@
 		}
 	}
 	for _, p := range lk.parts {
-		if reach < need-eps && !g.onTheWay(p) && g.mayResend(p) && g.place(p, true, true) {
+		if reach < need-eps && !g.onTheWay(p) && g.mayResend(p, (need-in)/need) && g.place(p, true, true) {
 			reach += p.Weight
 		}
 	}
@@ -585,15 +585,17 @@
 }
 
 // mayResend adds what holds only for now: one call of a part more than is out, and the budget.
-func (g *Gatherer) mayResend(p *part) bool {
+func (g *Gatherer) mayResend(p *part, missing float64) bool {
 	outs := p.outs()
 	if outs > 1 || outs == 1 && !g.terms.Flag("second copies") || !g.allowed(p) {
 		return false
 	}
 	budget := g.budget
 	if outs == 1 {
-		if g.usual > noCopies*p.lk.ix.soft {
-			return false // against copies feeding the jam that made their parts late
+		// Against copies feeding the jam that made their parts late. One of the last parts missing is worth it even
+		// then: without it all that was done for the others is lost.
+		if g.usual*missing > noCopies*p.lk.ix.soft {
+			return false
 		}
 		budget *= sparing
 	}
