--- a/logic/logic.go
+++ b/logic/logic.go
@@ -17,28 +17,28 @@
 )
 
 const (
-	span      = 5000.0  // the design's window of records
-	enough    = 4       // records kept beyond the window, against a gatherer too small to fill it,
-	memory    = 25000.0 // for so long
-	clamp     = 0.9     // the design's ceiling on L·s
-	holdLimit = 1       // our parts out at a server from which extras wait; the design starts at two
-	overS     = 2.0     // the design's "over twice s", for records and for the skip
-	patience  = 4.0     // yardsticks after which a part out no longer counts on the way
-	badShare  = 0.25    // share of failures over the group's least from which turns pass a server by
-	unsound   = 0.02    // records that a server gets for nothing, so that one that answers none is not ruled out
-	crowd     = 1.0     // parts more than at the emptiest replica with which turns pass a server by
-	callParts = 4       // parts that one turn takes along where calls cost; more would queue behind each other
-	sparing   = 0.6     // the part of the budget that second copies may use; lost parts have the rest
-	ageing    = 1.5     // mean age of parts out to their expected latency
-	noCopies  = 0.3     // usual latency of a call over the soft deadline from which no copies are made
-	jamFrom   = 0.35    // slowest part's expected latency over the soft deadline: refusals start here,
-	jamFull   = 0.8     // and here all are refused
-	local     = 3.0     // usual latencies of a call that a lookup's slowest part may count
-	overMost  = 1.3     // most that a customer over its quota counts
-	coldPush  = 0.6     // part of what the rule allows that cold servers are sent where warm ones are full
-	hoard     = 2.0     // most parts that a cold server may be owed, against a burst of many gatherers
-	comeBack  = 400.0   // shortest advice to a nacked client
-	eps       = 5e-5    // weights come rounded
+	span         = 5000.0  // the design's window of records
+	enough       = 4       // records kept beyond the window, against a gatherer too small to fill it,
+	memory       = 25000.0 // for so long
+	clamp        = 0.9     // the design's ceiling on L·s
+	holdLimit    = 1       // our parts out at a server from which extras wait; the design starts at two
+	overS        = 2.0     // the design's "over twice s", for records and for the skip
+	patience     = 4.0     // yardsticks after which a part out no longer counts on the way
+	badShare     = 0.25    // share of failures over the group's least from which turns pass a server by
+	unsound      = 0.02    // records that a server gets for nothing, so that one that answers none is not ruled out
+	crowd        = 1.0     // parts more than at the emptiest replica with which turns pass a server by
+	callParts    = 4       // parts that one turn takes along where calls cost; more would queue behind each other
+	sparing      = 0.6     // the part of the budget that second copies may use; lost parts have the rest
+	ageing       = 1.5     // mean age of parts out to their expected latency
+	noCopies     = 0.3     // usual latency of a call over the soft deadline from which no copies are made
+	jamFrom      = 0.35    // slowest part's expected latency over the soft deadline: refusals start here,
+	jamFull      = 0.8     // and here all are refused
+	local        = 3.0     // usual latencies of a call that a lookup's slowest part may count
+	repeatCounts = 1.3     // what a client repeats counts as that much nearer to a jam
+	coldPush     = 0.6     // part of what the rule allows that cold servers are sent where warm ones are full
+	hoard        = 2.0     // most parts that a cold server may be owed, against a burst of many gatherers
+	comeBack     = 400.0   // shortest advice to a nacked client
+	eps          = 5e-5    // weights come rounded
 
 	// Further part calls where no budget is set, so that resends never feed a jam.
 	ownFree, ownShare, ownSpan = 3.0, 0.1, 5000.0
@@ -125,7 +125,6 @@
 	elapsed             float64   // since the last round
 	taken, further      []float64 // times of lookups and parts taken, and of further part calls
 
-	seen          map[string]float64 // lookups by customer, decaying over span
 	held          []*lookup
 	byNumber      map[uint64]*lookup
 	parts         map[uint64]*part
@@ -136,7 +135,7 @@
 // New makes a gatherer that knows only its terms.
 func New(seed uint64, terms gather.Terms) *Gatherer {
 	g := &Gatherer{terms: terms, chance: pcg.New(seed), dense: map[uint32]int{}, indexes: map[string]*index{},
-		parts: map[uint64]*part{}, byNumber: map[uint64]*lookup{}, seen: map[string]float64{}, soft: math.Inf(1)}
+		parts: map[uint64]*part{}, byNumber: map[uint64]*lookup{}, soft: math.Inf(1)}
 	for _, name := range terms.Names("indexes") {
 		g.soft = min(g.soft, g.index(name).soft)
 	}
@@ -148,9 +147,6 @@
 func (g *Gatherer) Round(in *gather.Round, w gather.Writer) {
 	fade := math.Exp((g.now - in.Now) / span)
 	g.sentExtras, g.dropped = g.sentExtras*fade, g.dropped*fade
-	for customer := range g.seen {
-		g.seen[customer] *= fade
-	}
 	if g.now > 0 {
 		g.elapsed = min(in.Now-g.now, span)
 	}
@@ -383,9 +379,6 @@
 		lk := &lookup{Lookup: l, ix: g.index(l.Index), landed: g.now}
 		g.held = append(g.held, lk)
 		g.byNumber[l.Number] = lk
-		if !l.Retry { // against counting as more what comes again because it was refused
-			g.seen[l.Customer]++
-		}
 		g.taken = append(g.taken, g.now)
 	}
 	for _, pt := range in.Parts {
@@ -473,17 +466,11 @@
 			slowest = max(slowest, g.landing(shd))
 		}
 	}
-	// A customer over its share earns little: as many as it is over count as that much nearer to a jam. We see
-	// our own share of its lookups only, and take the other gatherers to see as many.
-	over := 1.0
-	if quota := g.terms.Num(lk.Customer + "/quota"); quota > 0 {
-		over = min(max(1, g.seen[lk.Customer]/span*1000*g.terms.Num("gatherers")/quota), overMost)
-	}
-	if lk.Retry { // against clients that come again at once: part of its soft deadline is spent, and others wait
-		over = overMost
-	}
 	slowest = min(slowest, local*g.usual) // against refusing much for one crowded group of a calm fleet
-	return (over*slowest/lk.ix.soft-jamFrom)/(jamFull-jamFrom) > g.chance.Float64()
+	if lk.Retry {                         // against clients that come again at once: part of its soft deadline is spent, and others wait
+		slowest *= repeatCounts
+	}
+	return (slowest/lk.ix.soft-jamFrom)/(jamFull-jamFrom) > g.chance.Float64()
 }
 
 // tend takes one lookup as far as it can go now.
