--- a/logic/logic.go
+++ b/logic/logic.go
@@ -470,7 +470,8 @@
 	if lk.Retry {                         // against clients that come again at once: part of its soft deadline is spent, and others wait
 		slowest *= repeatCounts
 	}
-	return (slowest/lk.ix.soft-jamFrom)/(jamFull-jamFrom) > g.chance.Float64()
+	left := max(min(lk.ix.soft, lk.GiveUpAt-g.now), 1) // clients that leave sooner get no answer in time either
+	return (slowest/left-jamFrom)/(jamFull-jamFrom) > g.chance.Float64()
 }
 
 // tend takes one lookup as far as it can go now.
