--- a/logic/logic.go
+++ b/logic/logic.go
@@ -61,6 +61,7 @@
 	gather.Part
 	lk    *lookup
 	calls []*call
+	out   int  // calls that have not ended
 	asked bool // to be sent, whether or not a server has room for it now
 	extra bool // beyond the n of normal mode
 	in    bool
@@ -85,8 +86,7 @@
 	over     bool
 }
 
-// turn is whose turn it is among the replicas of a group. Where a call has a price of its own, parts sent
-// in one round share the turn under way.
+// turn is whose turn it is among a group's replicas; parts of one round share it where calls have a price.
 type turn struct {
 	next, shd, left int
 	at              float64
@@ -140,6 +140,10 @@
 		g.soft = min(g.soft, g.index(name).soft)
 	}
 	g.normal = g.soft / 10
+	g.holders = make([][]int, max(int(terms.Num("groups")), 1))
+	for range g.holders { // by chance, against all gatherers starting at one replica
+		g.turns = append(g.turns, turn{next: int(g.chance.Uint32() >> 8), at: -1})
+	}
 	return g
 }
 
@@ -223,8 +227,7 @@
 				g.groups, g.state, g.started = append(g.groups, 0), append(g.state, 0), append(g.started, 0)
 				g.records, g.out, g.last = append(g.records, nil), append(g.out, nil), append(g.last, nil)
 				g.rate, g.doubt, g.sound = append(g.rate, 0), append(g.doubt, 0), append(g.sound, 1)
-				g.s, g.f, g.r = append(g.s, 0), append(g.f, 0), append(g.r, 0)
-				g.credit = append(g.credit, 0)
+				g.s, g.f, g.r, g.credit = append(g.s, 0), append(g.f, 0), append(g.r, 0), append(g.credit, 0)
 			}
 			g.dense[e.ID], g.ids[shd] = shd, e.ID
 		}
@@ -236,17 +239,11 @@
 		}
 		g.groups[shd], g.state[shd], g.started[shd] = e.Group, e.State, e.Started
 	}
-	groups, row := int(g.terms.Num("groups")), int(g.terms.Num("groups in a row"))
-	if g.turns == nil {
-		g.turns = make([]turn, groups)
-		for i := range g.turns {
-			// By chance, against all gatherers starting at one replica.
-			g.turns[i] = turn{next: int(g.chance.Uint32() >> 8), at: -1}
-		}
-	}
-	g.holders = make([][]int, groups)
+	groups, row := len(g.turns), int(g.terms.Num("groups in a row"))
+	clear(g.holders)
 	for shd, at := range g.groups {
-		for j := 0; g.state[shd] == gather.Running && j < row; j++ {
+		known := at >= 0 && at < groups // against sending to one that holds no shard
+		for j := 0; known && g.state[shd] == gather.Running && j < row; j++ {
 			base := ((at-j)%groups + groups) % groups
 			g.holders[base] = append(g.holders[base], shd)
 		}
@@ -261,9 +258,10 @@
 	}
 	c := p.calls[e.Call]
 	c.ended, c.unrun = true, e.Outcome.Unrun()
+	p.out--
 	p.over = p.over || e.Over
 	g.out[c.shd] = slices.DeleteFunc(g.out[c.shd], func(o *call) bool { return o == c })
-	waited, limit := g.now-c.at, overS*g.yard(c.shd, p)
+	waited, limit := g.now-c.at, overS*g.yard(c)
 	switch {
 	case e.Outcome == gather.Answered:
 		g.records[c.shd] = append(g.records[c.shd], record{at: g.now, latency: waited, extra: waited - limit/overS,
@@ -272,29 +270,24 @@
 		if g.coldShare(c.shd) == 1 {
 			g.carried++
 		}
-	case e.Outcome == gather.Stale || e.Outcome == gather.CalledOff && waited <= limit:
-		// Says nothing of the server: we ended it ourselves, before it could be called slow.
-	default:
+	case e.Outcome != gather.Stale && (e.Outcome != gather.CalledOff || waited > limit):
+		// Not what we ended ourselves before it could be called slow: that says nothing of the server.
 		g.records[c.shd] = append(g.records[c.shd], record{at: g.now, extra: waited + limit/overS, failed: true})
 	}
-	if p.lk.over {
-		g.forget(p)
+	if p.lk.over && p.out == 0 {
+		delete(g.parts, p.ID)
 	}
 }
 
-// yard is what a part should take at a server. The design's own s rises with a server that slows steadily,
-// so that nothing there is ever over twice s: the fleet's median holds it down. A part that is expected to
-// be heavy is granted its weight, against blaming the server for the lookup.
-func (g *Gatherer) yard(shd int, p *part) float64 {
-	return min(g.s[shd], g.normal) * max(1, p.Cost/max(p.lk.ix.cost, 1))
+// yard is what a call should take. The fleet's median holds s down, against a server that slows steadily and is
+// never over twice its own s. A heavy part is granted its weight, against blaming the server for the lookup.
+func (g *Gatherer) yard(c *call) float64 {
+	return min(g.s[c.shd], g.normal) * max(1, c.part.Cost/max(c.part.lk.ix.cost, 1))
 }
 
 // since leaves only the times of the last so many milliseconds.
 func (g *Gatherer) since(times []float64, length float64) []float64 {
-	old := 0
-	for old < len(times) && times[old] < g.now-length {
-		old++
-	}
+	old, _ := slices.BinarySearch(times, g.now-length)
 	return times[old:]
 }
 
@@ -336,7 +329,7 @@
 		// server that answers nothing only when lookups are given up.
 		for _, c := range g.out[shd] {
 			calls = append(calls, max(g.s[shd], ageing*(g.now-c.at)))
-			if late := g.now - c.at - overS*g.yard(shd, c.part); late > 0 {
+			if late := g.now - c.at - overS*g.yard(c); late > 0 {
 				n++
 				failed++
 				extra += late
@@ -362,9 +355,8 @@
 			proven = append(proven, g.s[shd])
 		}
 	}
-	g.usual = median(calls, 0)
+	g.usual, g.normal = median(calls, 0), median(proven, g.soft/10)
 	g.carried, g.warm = 0, warm
-	g.normal = median(proven, g.soft/10)
 }
 
 func median(values []float64, otherwise float64) float64 {
@@ -467,10 +459,11 @@
 		}
 	}
 	slowest = min(slowest, local*g.usual) // against refusing much for one crowded group of a calm fleet
-	if lk.Retry {                         // against clients that come again at once: part of its soft deadline is spent, and others wait
-		slowest *= repeatCounts
+	if lk.Retry {
+		slowest *= repeatCounts // against clients that come again at once, while first tries wait
 	}
-	left := max(min(lk.ix.soft, lk.GiveUpAt-g.now), 1) // clients that leave sooner get no answer in time either
+	// Against storms of clients that wait less than that: parts sent for them are called off, and they come again.
+	left := max(min(lk.ix.soft, lk.GiveUpAt-g.now), 1)
 	return (slowest/left-jamFrom)/(jamFull-jamFrom) > g.chance.Float64()
 }
 
@@ -492,11 +485,11 @@
 	}
 	in, possible, reach, outs := 0.0, 0.0, 0.0, 0
 	for _, p := range lk.parts {
-		outs += p.outs()
+		outs += p.out
 		if p.in {
 			in += p.Weight
 		}
-		if p.in || p.outs() > 0 || len(p.calls) == 0 || g.allowed(p) {
+		if p.in || p.out > 0 || len(p.calls) == 0 || g.allowed(p) {
 			possible += p.Weight
 		}
 		if g.onTheWay(p) {
@@ -534,23 +527,13 @@
 	}
 }
 
-// outs counts the calls of the part that have not ended.
-func (p *part) outs() (n int) {
-	for _, c := range p.calls {
-		if !c.ended {
-			n++
-		}
-	}
-	return n
-}
-
 // onTheWay reports whether an answer of the part may be counted on.
 func (g *Gatherer) onTheWay(p *part) bool {
 	if p.in || p.asked && len(p.calls) == 0 {
 		return true
 	}
 	for _, c := range p.calls {
-		if !c.ended && g.now-c.at <= patience*g.yard(c.shd, p) {
+		if !c.ended && g.now-c.at <= patience*g.yard(c) {
 			return true
 		}
 	}
@@ -574,12 +557,11 @@
 
 // mayResend adds what holds only for now: one call of a part more than is out, and the budget.
 func (g *Gatherer) mayResend(p *part, missing float64) bool {
-	outs := p.outs()
-	if outs > 1 || outs == 1 && !g.terms.Flag("second copies") || !g.allowed(p) {
+	if p.out > 1 || p.out == 1 && !g.terms.Flag("second copies") || !g.allowed(p) {
 		return false
 	}
 	budget := g.budget
-	if outs == 1 {
+	if p.out == 1 {
 		// Against copies feeding the jam that made their parts late. One of the last parts missing is worth it even
 		// then: without it all that was done for the others is lost.
 		if g.usual*missing > noCopies*p.lk.ix.soft {
@@ -599,12 +581,11 @@
 	return from + (1-from)*max(age, 0)/cold
 }
 
-// earn lets a cold server be sent its share of what this gatherer has seen a warm one answer, over all gatherers,
-// however uneven, at most so much of what the rule allows. A gatherer's number says how much of its first part it
-// starts with: so they take turns at a fresh server, each server with another one first. Where nothing is
-// warm, a quarter of what the rule allows for one core is shared out evenly.
+// earn lets a cold server be sent its share of what this gatherer has seen a warm one answer: over all gatherers,
+// however uneven, a part of what the rule allows. They take turns by number, which says how much of its first part
+// each starts with. Where nothing is warm, a quarter of what the rule allows for one core is shared out evenly.
 func (g *Gatherer) earn(shd int) {
-	least := g.elapsed / g.normal / 4 / max(g.terms.Num("gatherers"), 1)
+	least := g.elapsed / max(g.normal, 1) / 4 / max(g.terms.Num("gatherers"), 1)
 	earned := g.terms.Num("fall multiple") * g.coldShare(shd) * max(coldPush*g.carried/max(g.warm, 1), least)
 	g.credit[shd] = min(g.credit[shd]+earned, hoard)
 }
@@ -642,9 +623,8 @@
 	if tn := &g.turns[base]; tn.at == g.now && tn.left > 0 && g.usable(tn.shd, p) && !g.skipped(tn.shd, p) {
 		return tn.shd
 	}
-	best, least := -1, math.Inf(1)
+	best, least, emptiest := -1, math.Inf(1), math.Inf(1)
 	n := len(g.holders[base])
-	emptiest := math.Inf(1)
 	for _, shd := range g.holders[base] {
 		if g.usable(shd, p) && !g.skipped(shd, p) {
 			emptiest = min(emptiest, float64(len(g.out[shd])))
@@ -662,8 +642,7 @@
 			return shd
 		}
 		// Against herding in a jam: a server that turns parts away at once has a low s and nothing out.
-		bad := g.s[shd] * float64(len(g.out[shd])+1) / g.sound[shd]
-		if bad < least {
+		if bad := g.s[shd] * float64(len(g.out[shd])+1) / g.sound[shd]; bad < least {
 			best, least = shd, bad
 		}
 	}
@@ -686,7 +665,7 @@
 		}
 	}
 	c := &call{part: p, shd: shd, at: g.now}
-	p.calls = append(p.calls, c)
+	p.calls, p.out = append(p.calls, c), p.out+1
 	g.out[shd], g.last[shd] = append(g.out[shd], c), c
 	g.rate[shd]++
 	g.credit[shd]--
@@ -737,13 +716,8 @@
 				g.w.CallOff(p.ID, i)
 			}
 		}
-		g.forget(p)
-	}
-}
-
-// forget lets go of a part once nothing of it is out.
-func (g *Gatherer) forget(p *part) {
-	if p.outs() == 0 {
-		delete(g.parts, p.ID)
+		if p.out == 0 {
+			delete(g.parts, p.ID)
+		}
 	}
 }
