--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,9 +25,9 @@
 	overS        = 2.0     // the design's "over twice s", for records and for the skip
 	patience     = 4.0     // yardsticks after which a part out no longer counts on the way
 	badShare     = 0.25    // share of failures over the group's least from which turns pass a server by
-	unsound      = 0.02    // records that a server gets for nothing, so that one that answers none is not ruled out
+	unsound      = 0.02    // answered records that a server gets for nothing, against ruling one out for good
 	crowd        = 1.0     // parts more than at the emptiest replica with which turns pass a server by
-	callParts    = 4       // parts that one turn takes along where calls cost; more would queue behind each other
+	callParts    = 4       // parts that one turn takes along where calls cost; more would queue up
 	sparing      = 0.6     // the part of the budget that second copies may use; lost parts have the rest
 	ageing       = 1.5     // mean age of parts out to their expected latency
 	noCopies     = 0.3     // usual latency of a call over the soft deadline from which no copies are made
@@ -121,7 +121,7 @@
 	usual               float64 // latency of a part call, from those out and those lately answered
 	sentExtras, dropped float64 // decaying over span
 	budget              float64
-	carried, warm       float64   // parts answered by warm servers since the last round, and how many are warm
+	carried, warm       float64   // parts that warm servers answered since the last round; how many are warm
 	elapsed             float64   // since the last round
 	taken, further      []float64 // times of lookups and parts taken, and of further part calls
 
@@ -261,26 +261,28 @@
 	p.out--
 	p.over = p.over || e.Over
 	g.out[c.shd] = slices.DeleteFunc(g.out[c.shd], func(o *call) bool { return o == c })
-	waited, limit := g.now-c.at, overS*g.yard(c)
-	switch {
-	case e.Outcome == gather.Answered:
-		g.records[c.shd] = append(g.records[c.shd], record{at: g.now, latency: waited, extra: waited - limit/overS,
-			passed: true, failed: waited > limit})
+	waited, limit, passed := g.now-c.at, overS*g.yard(c), e.Outcome == gather.Answered
+	rec := record{at: g.now, latency: waited, extra: waited - limit/overS, passed: passed,
+		failed: !passed || waited > limit}
+	if passed {
 		p.in = true
 		if g.coldShare(c.shd) == 1 {
 			g.carried++
 		}
-	case e.Outcome != gather.Stale && (e.Outcome != gather.CalledOff || waited > limit):
-		// Not what we ended ourselves before it could be called slow: that says nothing of the server.
-		g.records[c.shd] = append(g.records[c.shd], record{at: g.now, extra: waited + limit/overS, failed: true})
+	} else {
+		rec.extra += limit // its next call takes its time as well
+	}
+	// What we ended ourselves before it could be called slow says nothing of the server.
+	if passed || e.Outcome != gather.Stale && (e.Outcome != gather.CalledOff || waited > limit) {
+		g.records[c.shd] = append(g.records[c.shd], rec)
 	}
 	if p.lk.over && p.out == 0 {
 		delete(g.parts, p.ID)
 	}
 }
 
-// yard is what a call should take. The fleet's median holds s down, against a server that slows steadily and is
-// never over twice its own s. A heavy part is granted its weight, against blaming the server for the lookup.
+// yard is what a call should take. The fleet's median holds s down, against a server that slows steadily and
+// is never over twice its own s. A heavy part is granted its weight, against blaming the server for it.
 func (g *Gatherer) yard(c *call) float64 {
 	return min(g.s[c.shd], g.normal) * max(1, c.part.Cost/max(c.part.lk.ix.cost, 1))
 }
@@ -462,7 +464,7 @@
 	if lk.Retry {
 		slowest *= repeatCounts // against clients that come again at once, while first tries wait
 	}
-	// Against storms of clients that wait less than that: parts sent for them are called off, and they come again.
+	// Against storms of clients that wait less than that: they leave before their answer and come again.
 	left := max(min(lk.ix.soft, lk.GiveUpAt-g.now), 1)
 	return (slowest/left-jamFrom)/(jamFull-jamFrom) > g.chance.Float64()
 }
@@ -562,8 +564,8 @@
 	}
 	budget := g.budget
 	if p.out == 1 {
-		// Against copies feeding the jam that made their parts late. One of the last parts missing is worth it even
-		// then: without it all that was done for the others is lost.
+		// Against copies feeding a jam. One of the last parts missing is worth it even then: all that was done
+		// for the others is lost without it.
 		if g.usual*missing > noCopies*p.lk.ix.soft {
 			return false
 		}
@@ -581,9 +583,9 @@
 	return from + (1-from)*max(age, 0)/cold
 }
 
-// earn lets a cold server be sent its share of what this gatherer has seen a warm one answer: over all gatherers,
-// however uneven, a part of what the rule allows. They take turns by number, which says how much of its first part
-// each starts with. Where nothing is warm, a quarter of what the rule allows for one core is shared out evenly.
+// earn lets a cold server be sent its share of what this gatherer sees a warm one answer: over all gatherers,
+// however uneven, a part of what the rule allows. They take turns by number, which says how much of its first
+// part each starts with. Where nothing is warm, a quarter of the rule for one core is shared out evenly.
 func (g *Gatherer) earn(shd int) {
 	least := g.elapsed / max(g.normal, 1) / 4 / max(g.terms.Num("gatherers"), 1)
 	earned := g.terms.Num("fall multiple") * g.coldShare(shd) * max(coldPush*g.carried/max(g.warm, 1), least)
@@ -600,8 +602,8 @@
 	return g.coldShare(shd) == 1 || g.credit[shd] >= 1
 }
 
-// standsOut reports whether a server's share of failures stands out among the replicas of the part's group, not
-// the fleet: against half a fleet that fails this gatherer alone, and against blaming anyone for a jam.
+// standsOut reports whether a server's failures stand out among the replicas of the part's group, not the
+// fleet: against half a fleet that fails this gatherer alone, and against blaming anyone for a jam.
 func (g *Gatherer) standsOut(shd int, p *part) bool {
 	least := math.Inf(1)
 	for _, other := range g.holders[p.Shard%len(g.holders)] {
@@ -610,11 +612,12 @@
 	return g.doubt[shd] > badShare+least
 }
 
-// skipped reports whether the turns pass a server by: the design's companion first. Then one whose failures stand
-// out; its records run out, and it is tried again by one part at a time.
+// skipped reports whether the turns pass a server by: the design's companion first. Then one whose failures
+// stand out; its records run out, and it is tried again by one part at a time.
 func (g *Gatherer) skipped(shd int, p *part) bool {
 	c := g.last[shd]
-	return c != nil && !c.ended && (g.now-c.at > overS*g.s[shd] || len(g.records[shd]) == 0) || g.standsOut(shd, p)
+	out := c != nil && !c.ended
+	return out && (g.now-c.at > overS*g.s[shd] || len(g.records[shd]) == 0) || g.standsOut(shd, p)
 }
 
 // peek gives the replica whose turn it is, or -1; where all are skipped, the one that is least bad.
@@ -682,7 +685,8 @@
 	g.w.Answer(lk.ID, whole)
 	g.drop(lk)
 	if !lk.answered && lk.ix.secondStep > 0 {
-		lk = &lookup{Lookup: lk.Lookup, ix: lk.ix, landed: lk.landed, opened: true, answered: true, whole: whole}
+		lk = &lookup{Lookup: lk.Lookup, ix: lk.ix, landed: lk.landed, opened: true, answered: true,
+			whole: whole}
 		g.held, g.byNumber[lk.Number] = append(g.held, lk), lk
 	}
 }
