--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,7 +28,7 @@
 	unsound      = 0.02    // answered records that a server gets for nothing, against ruling one out for good
 	crowd        = 1.0     // parts more than at the emptiest replica with which turns pass a server by
 	callParts    = 4       // parts that one turn takes along where calls cost; more would queue up
-	sparing      = 0.8     // the part of the budget that second copies may use; lost parts have the rest
+	sparing      = 0.6     // the part of the budget that second copies may use; lost parts have the rest
 	ageing       = 1.5     // mean age of parts out to their expected latency
 	noCopies     = 0.3     // usual latency of a call over the soft deadline from which no copies are made
 	jamFrom      = 0.35    // slowest part's expected latency over the soft deadline: refusals start here,
