--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -15,8 +15,8 @@
 // The notation of testdata/*.txt, a line each:
 //
 //	term NAME = VALUE               before the first round; a number, yes, no or a word
-//	at MS                           the next round begins; what follows comes in with it
-//	list SERVER:GROUP[:STARTED][:draining] ...      the full list
+//	at MS[: LINE]                   the next round begins; what follows comes in with it
+//	list SERVER:GROUP[:STARTED][:draining] ...      the full list; the first tells how many groups there are
 //	lookup ID,ID.. INDEX PARTS GIVEUPAT [COST]   its parts are ID+1.. at shards 0.., of equal weight;
 //	                                each part costs 10 more than the one before
 //	again ...                       the same for lookups that a client repeats
@@ -99,7 +99,11 @@
 		}
 	case w[0] == "at":
 		p.play()
-		p.in.Now, p.pending = num(1), true
+		when, rest, _ := strings.Cut(strings.TrimPrefix(text, "at "), ":")
+		p.in.Now, _ = strconv.ParseFloat(when, 64)
+		if p.pending = true; rest != "" {
+			p.line(strings.TrimSpace(rest))
+		}
 	case w[0] == "list":
 		list := gather.List{Full: true}
 		for _, entry := range w[1:] {
@@ -112,6 +116,9 @@
 				s.State = gather.Draining
 			}
 			list.Servers = append(list.Servers, s)
+			if p.g == nil {
+				p.terms["groups"] = max(p.terms.Num("groups"), float64(group+1))
+			}
 		}
 		p.in.Lists = append(p.in.Lists, list)
 	case w[0] == "lookup", w[0] == "again":
@@ -182,7 +189,7 @@
 				t.Fatal(err)
 			}
 			p := &player{t: t, to: map[string]uint32{}, sent: map[uint64]int{}, terms: gather.Terms{
-				"groups": 4.0, "groups in a row": 1.0, "most calls": 3.0, "call off": true, "second copies": true,
+				"groups in a row": 1.0, "most calls": 3.0, "call off": true, "second copies": true,
 				"tick": 5.0, "gatherers": 1.0, "longest come back": 1000.0}}
 			for _, index := range []string{"any", "all", "once", "marked"} {
 				p.terms[index+"/soft deadline"], p.terms[index+"/late share"] = 1000.0, 0.1
