--- a/logic/logic.go
+++ b/logic/logic.go
@@ -117,7 +117,7 @@
 	holders [][]int // by shard modulo groups, as turns
 	turns   []turn
 
-	soft, normal        float64 // the shortest soft deadline; the median s
+	soft, normal        float64 // the shortest soft deadline; the median of what the window answered
 	usual               float64 // latency of a part call, from those out and those lately answered
 	sentExtras, dropped float64 // decaying over span
 	budget              float64
@@ -302,7 +302,7 @@
 	// The taken are counted over a tick less and the sent over a tick more, against rounding at the edges.
 	g.taken, g.further = g.since(g.taken, length-g.tick()), g.since(g.further, length+g.tick())
 	g.budget = free + share*float64(len(g.taken))
-	var proven, calls []float64
+	var fresh, calls []float64
 	warm := 0.0
 	for shd := range g.ids {
 		g.rate[shd] *= fade
@@ -318,6 +318,9 @@
 				if rec.at > g.now-g.soft {
 					calls = append(calls, rec.latency)
 				}
+				if rec.at > g.now-span {
+					fresh = append(fresh, rec.latency)
+				}
 				passed++
 				latency += rec.latency
 			}
@@ -353,11 +356,8 @@
 		} else {
 			g.earn(shd)
 		}
-		if passed > 0 {
-			proven = append(proven, g.s[shd])
-		}
 	}
-	g.usual, g.normal = median(calls, 0), median(proven, g.soft/10)
+	g.usual, g.normal = median(calls, 0), median(fresh, g.soft/10)
 	g.carried, g.warm = 0, warm
 }
 
