--- /dev/null
+++ b/cmd/yokeroute/serve.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"yokeroute/gather"
+	"yokeroute/internal/config"
+	"yokeroute/internal/discovery"
+	"yokeroute/internal/front"
+	"yokeroute/internal/pick"
+	"yokeroute/internal/shardcall"
+)
+
+// run serves until SIGTERM and until all that was taken is answered, or until something fails.
+func run(ctx context.Context, c *config.Config, level string) error {
+	log := logrus.New()
+	lowest, err := logrus.ParseLevel(level)
+	if err != nil {
+		return fmt.Errorf("--log-level: %w", err)
+	}
+	log.SetLevel(lowest)
+	limit(c.Limits)
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	terminated, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+
+	picker := pick.New(c.Seed, c.Terms, log)
+	pool := shardcall.New(c.Terms, picker, log)
+	var listed atomic.Bool
+	follower := discovery.New(c.Discovery, func(list gather.List, all []shardcall.Address) {
+		pool.Follow(all) // first, so that the module names no server whose address is not known
+		picker.Follow(list)
+		if len(all) > 0 {
+			listed.Store(true)
+		}
+	}, picker.Asked(), log)
+	if c.Known != nil {
+		follower.Take(c.Known)
+	}
+	server := front.New(picker, c.Terms, c.Limits.Sockets*3/4, listed.Load, log)
+
+	// What serves goes on until the last lookup is answered, past the signal.
+	serving, end := context.WithCancel(ctx)
+	defer end()
+	go follower.Run(serving)
+	go func() {
+		for {
+			orders, err := picker.Tick(serving)
+			if err != nil {
+				return
+			}
+			pool.Carry(orders)
+		}
+	}()
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	log.WithFields(logrus.Fields{"name": c.Name, "listen": c.Listen}).Info("serving")
+
+	select {
+	case err := <-failed:
+		return fmt.Errorf("listen: %w", err)
+	case <-terminated.Done():
+	}
+	log.Info("leaving: answering what is held")
+	longest := 0.0
+	for _, name := range c.Terms.Names("indexes") {
+		longest = max(longest, c.Terms.Num(name+"/hard deadline"))
+	}
+	leaving, cancel := context.WithTimeout(ctx, time.Duration(longest*1e6)+time.Second/2)
+	defer cancel()
+	if err := server.Drain(leaving); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	log.Info("left")
+	return nil
+}
+
+// limit tells the runtime what the platform allows, against being killed for memory or throttled mid-collection.
+func limit(l config.Limits) {
+	runtime.GOMAXPROCS(max(int(math.Ceil(l.Cores)), 1))
+	debug.SetMemoryLimit(int64(l.MemoryMB * (1 << 20) * 3 / 4))
+}
--- /dev/null
+++ b/internal/discovery/follow.go
@@ -0,0 +1,152 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"yokeroute/gather"
+	"yokeroute/internal/shardcall"
+)
+
+const (
+	// A watch that brings no news is answered after this time. What it does not bring counts as told two
+	// seconds after it, so that it is short; asking costs the agent on the own machine nothing.
+	watchWait = 2 * time.Second
+	// An agent that has not answered by then is silent, and a new call may find it back.
+	patience = time.Second
+	// The first pause after a failed call and the longest: short, since a watch goes on only without a gap.
+	pauseFirst, pauseMost = 50 * time.Millisecond, time.Second
+
+	mostBody = 4 << 20
+)
+
+// Follower keeps the list and hands on what is new in it.
+type Follower struct {
+	base  string
+	http  *http.Client
+	log   *logrus.Logger
+	tell  func(gather.List, []shardcall.Address)
+	asked <-chan struct{}
+
+	revision int64
+	whole    bool // a whole list has come from discovery itself
+	ids      map[string]uint32
+	names    map[uint32]string
+	held     map[uint32]shardcall.Address
+	order    []uint32
+}
+
+// New makes a follower of the discovery at that address. It calls tell with each piece of news and with the
+// addresses of all servers on the list; asked says when the module asks for the list.
+func New(address string, tell func(gather.List, []shardcall.Address), asked <-chan struct{}, log *logrus.Logger) *Follower {
+	return &Follower{base: "http://" + address + "/api/targets", tell: tell, asked: asked, log: log,
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, ResponseHeaderTimeout: watchWait + patience,
+			DisableCompression: true}},
+		ids: map[string]uint32{}, names: map[uint32]string{}, held: map[uint32]shardcall.Address{}}
+}
+
+// Take hands on a reply: the one that the platform gave at the start, or one that discovery gave.
+func (f *Follower) Take(r *Reply) {
+	list := gather.List{Full: r.Whole}
+	if r.Whole {
+		clear(f.held)
+		f.order = f.order[:0]
+	}
+	for _, m := range r.members {
+		id, cell := f.number(m.ID), 0
+		if m.Cell != nil {
+			cell = *m.Cell
+		}
+		state := phases[m.Phase]
+		list.Servers = append(list.Servers, gather.Server{ID: id, Group: cell, Zone: m.Locality, Kind: m.Flavor,
+			Size: m.Size, State: state, Started: m.UpSince})
+		if _, known := f.held[id]; !known {
+			f.order = append(f.order, id)
+		}
+		f.held[id] = shardcall.Address{ID: id, HostPort: m.HostPort, State: state}
+	}
+	f.revision = r.Revision
+	f.tell(list, f.all())
+}
+
+// number keeps two names from sharing one number; the later one moves on, which costs no more than a turn.
+func (f *Follower) number(name string) uint32 {
+	id, known := f.ids[name]
+	if known {
+		return id
+	}
+	id = number(name)
+	for f.names[id] != "" {
+		id++
+	}
+	f.ids[name], f.names[id] = id, name
+	return id
+}
+
+// Run follows the list until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := pauseFirst
+	for ctx.Err() == nil {
+		r, err := f.ask(ctx)
+		if err == nil {
+			pause = pauseFirst
+			f.whole = f.whole || r.Whole
+			f.Take(r)
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.log.WithError(err).Warn("discovery does not answer; the last list stays in force")
+		f.tell(gather.List{Failed: true}, f.all())
+		f.whole = false // a watch that broke may have missed changes
+		select {
+		case <-ctx.Done():
+		case <-f.asked:
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, pauseMost)
+	}
+}
+
+func (f *Follower) all() []shardcall.Address {
+	all := make([]shardcall.Address, 0, len(f.order))
+	for _, id := range f.order {
+		all = append(all, f.held[id])
+	}
+	return all
+}
+
+// ask makes one call: for the whole list at first, then for what is newer than the last reply.
+func (f *Follower) ask(ctx context.Context) (*Reply, error) {
+	url, limit := f.base, patience
+	if f.whole {
+		url += "?index=" + strconv.FormatInt(f.revision, 10) + "&wait=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
+		limit += watchWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, mostBody))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("discovery answers %s", resp.Status)
+	}
+	return Parse(body)
+}
--- /dev/null
+++ b/internal/discovery/list.go
@@ -0,0 +1,83 @@
+// Package discovery follows the list of shard servers.
+package discovery
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"strconv"
+	"strings"
+
+	"yokeroute/gather"
+)
+
+// member is one entry as discovery words it.
+type member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     *int    `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  float64 `json:"up_since_ms"`
+}
+
+// Reply is what discovery tells at once: the whole list, or what changed.
+type Reply struct {
+	Revision int64
+	Whole    bool
+	members  []member
+}
+
+var phases = map[string]gather.State{
+	"in_service": gather.Running, "terminating": gather.Draining, "terminated": gather.Gone,
+}
+
+// Parse reads a reply and checks it, so that a bad one is dropped whole.
+func Parse(text []byte) (*Reply, error) {
+	var wire struct {
+		Revision *int64   `json:"revision"`
+		Complete bool     `json:"complete"`
+		Members  []member `json:"members"`
+	}
+	if err := json.Unmarshal(text, &wire); err != nil {
+		return nil, err
+	}
+	if wire.Revision == nil {
+		return nil, errors.New("no revision")
+	}
+	for i, m := range wire.Members {
+		state, known := phases[m.Phase]
+		switch {
+		case m.ID == "":
+			return nil, fmt.Errorf("members[%d]: no id", i)
+		case !known:
+			return nil, fmt.Errorf("members[%d]: phase %q", i, m.Phase)
+		case state == gather.Gone:
+			continue // needs no more than its name
+		case m.Cell == nil:
+			return nil, fmt.Errorf("members[%d]: no cell", i)
+		}
+		if _, _, err := net.SplitHostPort(m.HostPort); err != nil {
+			return nil, fmt.Errorf("members[%d]: host_port: %w", i, err)
+		}
+	}
+	return &Reply{Revision: *wire.Revision, Whole: wire.Complete, members: wire.Members}, nil
+}
+
+// number is the id that the module knows a server by. Gatherers take turns by it, so that it has to come out
+// alike at all of them and after each start: a name that ends in eight hex digits carries its number, others
+// are hashed.
+func number(name string) uint32 {
+	if at := strings.LastIndexByte(name, '-'); at >= 0 && len(name)-at == 9 {
+		if n, err := strconv.ParseUint(name[at+1:], 16, 32); err == nil {
+			return uint32(n)
+		}
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return h.Sum32()
+}
--- /dev/null
+++ b/internal/front/answer.go
@@ -0,0 +1,70 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"yokeroute/internal/pick"
+)
+
+// answer writes a verdict. The values go out as the shard servers gave them.
+func answer(w http.ResponseWriter, v pick.Verdict) {
+	h := w.Header()
+	switch v.Kind {
+	case pick.Satisfied:
+		text := body200(v)
+		h.Set("Content-Type", "application/json")
+		h.Set("Content-Length", strconv.Itoa(len(text)))
+		w.Write(text) // an error here is a client that has gone; the server notices it as well
+	case pick.Nacked:
+		if v.ComeBack > 0 {
+			h.Set("Retry-After", strconv.FormatFloat(v.ComeBack/1000, 'f', 3, 64))
+		}
+		refuse(w, http.StatusServiceUnavailable, "nacked")
+	case pick.Aborted:
+		refuse(w, http.StatusGatewayTimeout, "aborted")
+	case pick.Left: // nobody reads it
+	default:
+		refuse(w, http.StatusInternalServerError, "failed")
+	}
+}
+
+func refuse(w http.ResponseWriter, status int, text string) {
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(text)+1))
+	w.WriteHeader(status)
+	w.Write([]byte(text + "\n"))
+}
+
+// body200 is the body of an answer.
+func body200(v pick.Verdict) []byte {
+	text := append([]byte(nil), `{"complete":`...)
+	text = strconv.AppendBool(text, v.Whole)
+	text = append(text, `,"hits":[`...)
+	for i, hit := range v.Hits {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = append(text, `{"shard":`...)
+		text = strconv.AppendInt(text, int64(hit.Shard), 10)
+		text = append(text, `,"doc":`...)
+		text = appendText(text, hit.Value)
+		text = append(text, '}')
+	}
+	return append(text, "]}"...)
+}
+
+// appendText writes a value as text. Its bytes go out as they came unless JSON has to have them escaped.
+func appendText(text, value []byte) []byte {
+	for _, b := range value {
+		if b < ' ' || b == '"' || b == '\\' {
+			quoted, _ := json.Marshal(string(value)) // a string always marshals
+			return append(text, quoted...)
+		}
+	}
+	text = append(text, '"')
+	text = append(text, value...)
+	return append(text, '"')
+}
--- /dev/null
+++ b/internal/front/request.go
@@ -0,0 +1,131 @@
+package front
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"yokeroute/internal/pick"
+)
+
+const (
+	mostBody    = 64 << 10  // what the protocol lets a body hold
+	mostHeaders = 16 << 10  // of a request
+	longestWait = 3_600_000 // milliseconds that a client may ask for; a longer time is a mistake
+	longestID   = 128       // bytes of a client's name for its lookup
+)
+
+// fault is a request that cannot be taken, with the status that says so.
+type fault struct {
+	status int
+	text   string
+}
+
+func (f *fault) Error() string { return f.text }
+
+func bad(format string, args ...any) error {
+	return &fault{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+}
+
+// body is what is needed of a lookup's body; the rest stays bytes.
+type body struct {
+	Shards []struct {
+		Shard  *int     `json:"shard"`
+		Weight *float64 `json:"weight"`
+		Cost   float64  `json:"cost"`
+		Key    string   `json:"key"`
+	} `json:"shards"`
+	Text json.RawMessage `json:"q"`
+}
+
+// readHead takes from a request what stands before its body, the time from which it counts included.
+func (s *Server) readHead(r *http.Request, now float64) (*pick.Lookup, error) {
+	index, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	switch {
+	case !s.indexes[index]:
+		return nil, &fault{http.StatusNotFound, fmt.Sprintf("no index %q", index)}
+	case r.Method != http.MethodPost:
+		return nil, &fault{http.StatusMethodNotAllowed, "a lookup is a POST"}
+	}
+	h := r.Header
+	lk := &pick.Lookup{ID: h.Get("X-Request-ID"), Index: index, Customer: h.Get("X-Tenant-Id"),
+		Key: h.Get("X-Route-Key"), Retry: h.Get("X-Retried") == "1"}
+	if lk.ID == "" || len(lk.ID) > longestID || strings.ContainsAny(lk.ID, " .\t") {
+		return nil, bad("X-Request-ID: %.40q", lk.ID)
+	}
+	if len(s.customers) > 0 && !s.customers[lk.Customer] {
+		return nil, bad("X-Tenant-Id: no customer %.40q", lk.Customer)
+	}
+	wait, err := strconv.ParseFloat(h.Get("X-Timeout-Ms"), 64)
+	if err != nil || !(wait > 0) || wait > longestWait {
+		return nil, bad("X-Timeout-Ms: %.40q", h.Get("X-Timeout-Ms"))
+	}
+	lk.GiveUpAt = now + wait
+	return lk, nil
+}
+
+// readBody takes the parts from a body.
+func (s *Server) readBody(lk *pick.Lookup, text []byte) error {
+	var b body
+	if err := json.Unmarshal(text, &b); err != nil {
+		return bad("body: %v", err)
+	}
+	if len(b.Shards) == 0 {
+		return bad("body: no shards")
+	}
+	var err error
+	if lk.Text, err = textOf(b.Text); err != nil {
+		return err
+	}
+	seen := make(map[int]bool, len(b.Shards))
+	for i, p := range b.Shards {
+		switch {
+		case p.Shard == nil || *p.Shard < 0 || s.shards > 0 && *p.Shard >= s.shards:
+			return bad("body: shards[%d]: no such shard", i)
+		case seen[*p.Shard]:
+			return bad("body: shards[%d]: shard %d twice", i, *p.Shard)
+		case p.Weight == nil || !(*p.Weight > 0) || math.IsInf(*p.Weight, 0):
+			return bad("body: shards[%d]: weight", i)
+		case p.Cost < 0:
+			return bad("body: shards[%d]: cost", i)
+		}
+		seen[*p.Shard] = true
+		cost := p.Cost / 1000 // from microseconds
+		lk.Parts = append(lk.Parts, pick.Part{Shard: *p.Shard, Weight: *p.Weight, Cost: cost, Key: p.Key})
+		lk.Cost += cost
+	}
+	return nil
+}
+
+// textOf is the query's text: the bytes between the quotes as they came, or what its escapes stand for.
+func textOf(raw json.RawMessage) ([]byte, error) {
+	if len(raw) < 2 || raw[0] != '"' {
+		return nil, bad("body: q is no text")
+	}
+	if !bytes.ContainsRune(raw, '\\') {
+		return raw[1 : len(raw)-1], nil
+	}
+	var text string
+	if err := json.Unmarshal(raw, &text); err != nil {
+		return nil, bad("body: q: %v", err)
+	}
+	return []byte(text), nil
+}
+
+// statusOf is the status for a request that could not be read.
+func statusOf(err error) int {
+	var f *fault
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &f):
+		return f.status
+	case errors.As(err, &large):
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
--- /dev/null
+++ b/internal/front/server.go
@@ -0,0 +1,157 @@
+// Package front takes lookups from clients over HTTP and answers them.
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/net/netutil"
+
+	"yokeroute/gather"
+	"yokeroute/internal/pick"
+)
+
+// Picker decides about lookups; package pick has it.
+type Picker interface {
+	Pick(ctx context.Context, lk *pick.Lookup) pick.Verdict
+	Now() float64
+}
+
+const (
+	// After the platform says that the end comes, new connections go on coming for less than this.
+	lateConnections = 500 * time.Millisecond
+	// A client that takes longer than this for the head of a request is cut off.
+	headTime = 5 * time.Second
+)
+
+// Server takes lookups.
+type Server struct {
+	picker    Picker
+	log       *logrus.Logger
+	http      *http.Server
+	ready     func() bool
+	indexes   map[string]bool
+	customers map[string]bool
+	shards    int
+	clients   int
+	leaving   atomic.Bool
+
+	mu     sync.Mutex
+	inHand map[string]bool // names of the lookups held, against two that could not be told apart
+}
+
+// New makes a server that holds so many client connections at most; ready says whether lookups can be served.
+func New(picker Picker, terms gather.Terms, clients int, ready func() bool, log *logrus.Logger) *Server {
+	s := &Server{picker: picker, log: log, ready: ready, clients: clients, shards: int(terms.Num("shards")),
+		indexes: set(terms.Names("indexes")), customers: set(terms.Names("customers")), inHand: map[string]bool{}}
+	errorLog := log.WriterLevel(logrus.DebugLevel)
+	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: headTime, MaxHeaderBytes: mostHeaders,
+		ErrorLog: stdlog.New(errorLog, "", 0)}
+	return s
+}
+
+func set(names []string) map[string]bool {
+	m := make(map[string]bool, len(names))
+	for _, name := range names {
+		m[name] = true
+	}
+	return m
+}
+
+// Serve takes connections until Drain has ended.
+func (s *Server) Serve(l net.Listener) error {
+	err := s.http.Serve(netutil.LimitListener(l, s.clients))
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Drain asks clients to go, takes those that come late, and returns once all that was taken is answered.
+func (s *Server) Drain(ctx context.Context) error {
+	s.leaving.Store(true)
+	s.http.SetKeepAlivesEnabled(false)
+	select {
+	case <-ctx.Done():
+	case <-time.After(lateConnections):
+	}
+	return s.http.Shutdown(ctx)
+}
+
+func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			s.log.WithField("stack", string(debug.Stack())).Errorf("request: %v", fault)
+			refuse(w, http.StatusInternalServerError, "failed")
+		}
+	}()
+	switch r.URL.Path {
+	case "/-/ready":
+		if s.leaving.Load() || !s.ready() {
+			refuse(w, http.StatusServiceUnavailable, "not ready")
+			return
+		}
+		refuse(w, http.StatusOK, "ready")
+	case "/-/healthy":
+		refuse(w, http.StatusOK, "healthy")
+	default:
+		if err := s.lookup(w, r); err != nil {
+			s.log.WithError(err).Debug("request not taken")
+			refuse(w, statusOf(err), err.Error())
+		}
+	}
+}
+
+// lookup takes one lookup from its first byte to its answer.
+func (s *Server) lookup(w http.ResponseWriter, r *http.Request) error {
+	now := s.picker.Now()
+	lk, err := s.readHead(r, now)
+	if err != nil {
+		return err
+	}
+	// A client that sends or reads slowly holds its connection no longer than its own time.
+	until := time.Now().Add(time.Duration((lk.GiveUpAt - now) * 1e6))
+	rc := http.NewResponseController(w)
+	rc.SetReadDeadline(until)
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+	if err != nil {
+		return err
+	}
+	rc.SetReadDeadline(time.Time{})
+	if err := s.readBody(lk, text); err != nil {
+		return err
+	}
+	if !s.hold(lk.ID) {
+		return bad("X-Request-ID: %q is in hand", lk.ID)
+	}
+	defer s.letGo(lk.ID)
+	v := s.picker.Pick(r.Context(), lk)
+	rc.SetWriteDeadline(until.Add(headTime))
+	answer(w, v)
+	return nil
+}
+
+func (s *Server) hold(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inHand[id] {
+		return false
+	}
+	s.inHand[id] = true
+	return true
+}
+
+func (s *Server) letGo(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.inHand, id)
+}
--- /dev/null
+++ b/internal/pick/lookup.go
@@ -0,0 +1,163 @@
+package pick
+
+import (
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"yokeroute/gather"
+)
+
+// Part is one part of a lookup, at one shard.
+type Part struct {
+	Shard        int
+	Weight, Cost float64
+	Key          string
+}
+
+// Lookup is one lookup as its client asked for it.
+type Lookup struct {
+	ID                   string // the client's name for it, from which its parts are named
+	Index, Customer, Key string
+	Cost                 float64
+	GiveUpAt             float64 // by the clock of Now
+	Retry                bool
+	Parts                []Part
+	Text                 []byte // what each part carries, as it came
+
+	ref    uint64 // its parts' refs follow it
+	values [][]byte
+	calls  [][]*Call
+	done   chan Verdict
+
+	// gate is held for reading while a part call is being written, so that no byte of one follows the answer.
+	gate   sync.RWMutex
+	sealed bool
+}
+
+// seal waits for calls that are being written and lets none begin after it.
+func (lk *Lookup) seal() {
+	lk.gate.Lock()
+	lk.sealed = true
+	lk.gate.Unlock()
+}
+
+// Kind is how a lookup ended.
+type Kind int
+
+const (
+	Satisfied Kind = iota
+	Nacked
+	Aborted
+	Broken // the module failed while it held the lookup
+	Left   // its client has gone
+)
+
+// Verdict is a lookup's final answer.
+type Verdict struct {
+	Kind     Kind
+	Whole    bool
+	Hits     []Hit   // of the parts that were in at the decision
+	ComeBack float64 // milliseconds after which a nacked client may come again, 0 for no advice
+}
+
+// Hit is what a shard server gave for a part.
+type Hit struct {
+	Shard int
+	Value []byte
+}
+
+// Call is one part call that the module has decided on.
+type Call struct {
+	Server  uint32
+	Timeout float64 // milliseconds from the decision
+
+	lk     *Lookup
+	part   int
+	number int
+	at     float64
+	off    atomic.Bool
+	told   atomic.Bool
+}
+
+// ID names the part on the wire; a second copy bears the same name.
+func (c *Call) ID() string { return c.lk.ID + "." + strconv.Itoa(c.Shard()) }
+
+// Shard is the shard asked.
+func (c *Call) Shard() int { return c.lk.Parts[c.part].Shard }
+
+// Text is what the part carries.
+func (c *Call) Text() []byte { return c.lk.Text }
+
+// Begin reports whether the call may still be written, against one that waited for a connection while its
+// lookup was answered. Each Begin that allowed it wants an End once its bytes are out. It never waits: a
+// lookup that is being sealed is as good as answered, and writers that waited could wait for each other.
+func (c *Call) Begin() bool {
+	if c.off.Load() || !c.lk.gate.TryRLock() {
+		return false
+	}
+	if c.lk.sealed || c.off.Load() {
+		c.lk.gate.RUnlock()
+		return false
+	}
+	return true
+}
+
+// End closes what Begin opened.
+func (c *Call) End() { c.lk.gate.RUnlock() }
+
+// Orders are what the network has to carry out after a round, in this order.
+type Orders struct {
+	Calls []*Call // those to one server are one turn and share frames
+	Off   []*Call // given up
+}
+
+// writer puts the decisions of one round into the facade's form; it is the module's gather.Writer.
+type writer struct{ p *Picker }
+
+func (w writer) Send(ref uint64, server uint32, timeout float64) {
+	s, known := w.p.parts[ref]
+	if !known {
+		return
+	}
+	c := &Call{Server: server, Timeout: timeout, lk: s.lk, part: s.part, number: len(s.lk.calls[s.part]), at: w.p.ranAt}
+	s.lk.calls[s.part] = append(s.lk.calls[s.part], c)
+	w.p.orders.Calls = append(w.p.orders.Calls, c)
+}
+
+func (w writer) CallOff(ref uint64, number int) {
+	if s, known := w.p.parts[ref]; known && number < len(s.lk.calls[s.part]) {
+		w.p.giveUp(s.lk.calls[s.part][number])
+	}
+}
+
+func (w writer) Answer(ref uint64, whole bool) {
+	lk := w.p.lookups[ref]
+	if lk == nil {
+		return
+	}
+	v := Verdict{Kind: Satisfied, Whole: whole}
+	for i, value := range lk.values {
+		if value != nil {
+			v.Hits = append(v.Hits, Hit{lk.Parts[i].Shard, value})
+		}
+	}
+	w.p.end(lk, v)
+}
+
+func (w writer) Nack(ref uint64, comeBack float64) {
+	w.p.end(w.p.lookups[ref], Verdict{Kind: Nacked, ComeBack: comeBack})
+}
+
+func (w writer) Abort(ref uint64) { w.p.end(w.p.lookups[ref], Verdict{Kind: Aborted}) }
+
+func (w writer) Wake(after float64) { w.p.wakeAt = min(w.p.wakeAt, w.p.ranAt+after) }
+
+func (w writer) Subscribe() {
+	select {
+	case w.p.asked <- struct{}{}:
+	default: // asked for already
+	}
+}
+
+var _ gather.Writer = writer{}
--- /dev/null
+++ b/internal/pick/pick.go
@@ -0,0 +1,295 @@
+// Package pick is the decision module in blocking style, for network code that knows nothing of rounds.
+//
+// Pick hands a lookup in and blocks until its final answer is decided. Tick blocks until a round is due,
+// runs it and gives back the part calls that it decided on. Report tells how a part call ended. One
+// goroutine, the one that calls Tick, owns the module; the others only leave what they have to say for it.
+package pick
+
+import (
+	"context"
+	"math"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"yokeroute/gather"
+	"yokeroute/logic"
+)
+
+// Picker stands between the network and one decision module.
+type Picker struct {
+	terms gather.Terms
+	tick  float64
+	most  int // lookups and parts held at once, 0 for no limit
+	start time.Time
+	unix  float64 // of start, in milliseconds
+	log   *logrus.Logger
+	asked chan struct{}
+	news  chan struct{}
+
+	mu    sync.Mutex
+	inbox inbox
+	held  int
+	ref   uint64
+
+	// The rest belongs to the goroutine that calls Tick.
+	spare   inbox
+	seed    uint64
+	module  *logic.Gatherer
+	ranAt   float64
+	wakeAt  float64
+	lookups map[uint64]*Lookup
+	parts   map[uint64]place
+	ended   []*Lookup
+	orders  Orders
+	servers map[uint32]gather.Server
+	ids     []uint32 // of servers, in the order in which they were first told
+}
+
+// place is a part's lookup and its place in it.
+type place struct {
+	lk   *Lookup
+	part int
+}
+
+// inbox is what has come in since the last round.
+type inbox struct {
+	gather.Round
+	taken   []*Lookup
+	values  []value
+	waiting bool
+}
+
+type value struct {
+	call *Call
+	text []byte
+}
+
+// New starts a module that knows only its terms.
+func New(seed uint64, terms gather.Terms, log *logrus.Logger) *Picker {
+	start := time.Now()
+	return &Picker{terms: terms, tick: max(terms.Num("tick"), 1), most: int(terms.Num("most held")), start: start,
+		unix: float64(start.UnixNano()) / 1e6, log: log, asked: make(chan struct{}, 1), news: make(chan struct{}, 1),
+		seed: seed, module: logic.New(seed, terms), wakeAt: math.Inf(1), lookups: map[uint64]*Lookup{},
+		parts: map[uint64]place{}, servers: map[uint32]gather.Server{}}
+}
+
+// Now is the module's time: Unix milliseconds, so that it compares with the times of discovery, moved on by
+// the monotonic clock, against one that is set while lookups are held.
+func (p *Picker) Now() float64 { return p.unix + float64(time.Since(p.start))/1e6 }
+
+// Asked tells when the module asks for the list.
+func (p *Picker) Asked() <-chan struct{} { return p.asked }
+
+// tell leaves something for the next round.
+func (p *Picker) tell(put func(in *inbox)) {
+	p.mu.Lock()
+	put(&p.inbox)
+	p.inbox.waiting = true
+	p.mu.Unlock()
+	select {
+	case p.news <- struct{}{}:
+	default: // the owner has been called already
+	}
+}
+
+// Follow hands in news of the list.
+func (p *Picker) Follow(list gather.List) {
+	p.tell(func(in *inbox) { in.Lists = append(in.Lists, list) })
+}
+
+// Report tells how a part call ended, with the value that came. Only the first report of a call counts: one
+// that was given up may still be answered.
+func (p *Picker) Report(c *Call, outcome gather.Outcome, text []byte) {
+	if !c.told.CompareAndSwap(false, true) {
+		return
+	}
+	ending := gather.Ending{Part: c.lk.ref + 1 + uint64(c.part), Server: c.Server, Call: c.number,
+		Waited: p.Now() - c.at, Outcome: outcome, Over: outcome == gather.Answered}
+	p.tell(func(in *inbox) {
+		in.Endings = append(in.Endings, ending)
+		if outcome == gather.Answered {
+			in.values = append(in.values, value{c, text})
+		}
+	})
+}
+
+// Pick hands a lookup in and blocks until its final answer is decided, or until ctx ends because its client
+// has gone. When it returns, no part call of the lookup is being written or will be.
+func (p *Picker) Pick(ctx context.Context, lk *Lookup) Verdict {
+	size := 1 + len(lk.Parts)
+	p.mu.Lock()
+	full := p.most > 0 && p.held+size > p.most
+	if !full {
+		p.held += size
+		lk.ref = p.ref
+		p.ref += uint64(size)
+	}
+	p.mu.Unlock()
+	if full { // the platform's own limit, which the simulator keeps in front of the module
+		return Verdict{Kind: Nacked}
+	}
+	lk.values, lk.calls = make([][]byte, len(lk.Parts)), make([][]*Call, len(lk.Parts))
+	lk.done = make(chan Verdict, 1)
+	p.tell(func(in *inbox) {
+		in.taken = append(in.taken, lk)
+		in.Lookups = append(in.Lookups, gather.Lookup{ID: lk.ref, Number: lk.ref, Index: lk.Index, Customer: lk.Customer,
+			Cost: lk.Cost, Key: lk.Key, GiveUpAt: lk.GiveUpAt, Retry: lk.Retry})
+		for i, pt := range lk.Parts {
+			in.Parts = append(in.Parts, gather.Part{ID: lk.ref + 1 + uint64(i), Number: lk.ref, Shard: pt.Shard,
+				Weight: pt.Weight, Cost: pt.Cost, Key: pt.Key})
+		}
+	})
+	var v Verdict
+	select {
+	case v = <-lk.done:
+	case <-ctx.Done():
+		v.Kind = Left
+		p.tell(func(in *inbox) { in.Left = append(in.Left, lk.ref) })
+	}
+	lk.seal()
+	return v
+}
+
+// Tick blocks until a round is due, runs it and gives its orders. Rounds are a tick apart at least, as the
+// module's terms have it; all that came in meanwhile goes into one.
+func (p *Picker) Tick(ctx context.Context) (Orders, error) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		p.mu.Lock()
+		waiting := p.inbox.waiting
+		p.mu.Unlock()
+		at, now := p.wakeAt, p.Now()
+		if waiting {
+			at = min(at, now)
+		}
+		at = max(at, p.ranAt+p.tick)
+		if now >= at {
+			return p.round(now), nil
+		}
+		var due <-chan time.Time
+		if !math.IsInf(at, 1) {
+			timer.Reset(time.Duration((at-now)*1e6) + 1)
+			due = timer.C
+		}
+		select {
+		case <-ctx.Done():
+			return Orders{}, ctx.Err()
+		case <-p.news:
+		case <-due:
+		}
+	}
+}
+
+// round runs the module once on all that waits.
+func (p *Picker) round(now float64) Orders {
+	p.mu.Lock()
+	in := p.inbox
+	p.inbox = p.spare
+	p.mu.Unlock()
+	p.ranAt, p.orders = now, Orders{}
+	if p.wakeAt <= now {
+		p.wakeAt = math.Inf(1)
+	}
+	for i := range in.Lists {
+		p.learn(&in.Lists[i])
+	}
+	for _, lk := range in.taken {
+		p.lookups[lk.ref] = lk
+		for i := range lk.Parts {
+			p.parts[lk.ref+1+uint64(i)] = place{lk, i}
+		}
+	}
+	for _, v := range in.values {
+		v.call.lk.values[v.call.part] = v.text
+	}
+	in.Now = now
+	p.run(&in.Round)
+	for _, ref := range in.Left {
+		p.end(p.lookups[ref], Verdict{Kind: Left})
+	}
+	p.forget()
+	r := in.Round
+	clear(in.taken)
+	clear(in.values)
+	p.spare = inbox{Round: gather.Round{Lists: r.Lists[:0], Lookups: r.Lookups[:0], Parts: r.Parts[:0],
+		Endings: r.Endings[:0], Left: r.Left[:0]}, taken: in.taken[:0], values: in.values[:0]}
+	return p.orders
+}
+
+// run keeps a panic of the module from ending the process: what the module held is answered as failed, and
+// a new one goes on from the list, as after a restart.
+func (p *Picker) run(in *gather.Round) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			p.log.WithField("stack", string(debug.Stack())).Errorf("decision module: %v; starting it anew", fault)
+			p.orders = Orders{}
+			for _, lk := range p.lookups {
+				p.end(lk, Verdict{Kind: Broken})
+				for _, calls := range lk.calls {
+					for _, c := range calls {
+						p.giveUp(c)
+					}
+				}
+			}
+			p.seed++
+			p.module, p.wakeAt = logic.New(p.seed, p.terms), math.Inf(1)
+			all := gather.List{Full: true}
+			for _, id := range p.ids {
+				all.Servers = append(all.Servers, p.servers[id])
+			}
+			p.Follow(all)
+		}
+	}()
+	p.module.Round(in, writer{p})
+}
+
+// learn keeps the list for a module that has to start anew.
+func (p *Picker) learn(l *gather.List) {
+	if l.Full {
+		clear(p.servers)
+		p.ids = p.ids[:0]
+	}
+	for _, e := range l.Servers {
+		if _, known := p.servers[e.ID]; !known {
+			p.ids = append(p.ids, e.ID)
+		}
+		p.servers[e.ID] = e
+	}
+}
+
+func (p *Picker) giveUp(c *Call) {
+	c.off.Store(true)
+	if !c.told.Load() {
+		p.orders.Off = append(p.orders.Off, c)
+	}
+}
+
+// end hands a lookup its verdict, once.
+func (p *Picker) end(lk *Lookup, v Verdict) {
+	if lk == nil || p.lookups[lk.ref] == nil {
+		return
+	}
+	delete(p.lookups, lk.ref)
+	p.ended = append(p.ended, lk)
+	lk.done <- v
+}
+
+// forget lets go of the lookups that the round has ended; until then their calls can be given up by name.
+func (p *Picker) forget() {
+	freed := 0
+	for _, lk := range p.ended {
+		for i := range lk.Parts {
+			delete(p.parts, lk.ref+1+uint64(i))
+		}
+		freed += 1 + len(lk.Parts)
+	}
+	clear(p.ended)
+	p.ended = p.ended[:0]
+	p.mu.Lock()
+	p.held -= freed
+	p.mu.Unlock()
+}
--- /dev/null
+++ b/internal/shardcall/conn.go
@@ -0,0 +1,277 @@
+package shardcall
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"yokeroute/gather"
+)
+
+// frame is what waits to be written: parts of one call, or the name of a part that is given up.
+type frame struct {
+	calls  []*attempt
+	giveUp string
+}
+
+// conn is one connection to a shard server, with one goroutine that writes and one that reads. Its fields
+// are guarded by the pool's lock.
+type conn struct {
+	pool    *Pool
+	srv     *server
+	nc      net.Conn
+	queue   []frame
+	out     map[string]*attempt // begun or written, not ended
+	booked  int                 // queued, begun or written, not ended
+	idle    *time.Timer
+	work    chan struct{}
+	retired bool
+	closed  bool
+}
+
+// enqueue leaves a frame for the writing goroutine.
+func (c *conn) enqueue(f frame) {
+	if c.closed {
+		return
+	}
+	for _, a := range f.calls {
+		a.on = c
+	}
+	c.booked += len(f.calls)
+	c.queue = append(c.queue, f)
+	select {
+	case c.work <- struct{}{}:
+	default: // it has been called already
+	}
+}
+
+// free gives back one place; a connection without calls closes after its idle time, or at once if retired.
+func (c *conn) free() {
+	c.booked--
+	if c.booked > 0 || c.closed {
+		return
+	}
+	wait := c.pool.idleTime
+	if c.retired {
+		wait = 0
+	}
+	if c.idle == nil {
+		c.idle = time.AfterFunc(wait, c.closeIdle)
+	} else {
+		c.idle.Reset(wait)
+	}
+}
+
+func (c *conn) closeIdle() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if c.booked == 0 {
+		c.fail(errIdle)
+	}
+}
+
+// fail closes the connection and ends all that is on it but what is being written, which its writer ends.
+// The lock is held.
+func (c *conn) fail(err error) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	for i, other := range c.srv.conns {
+		if other == c {
+			c.srv.conns = append(c.srv.conns[:i:i], c.srv.conns[i+1:]...)
+			break
+		}
+	}
+	if c.idle != nil {
+		c.idle.Stop()
+	}
+	stage := Writing
+	if c.nc == nil {
+		stage = Connecting
+	} else {
+		c.nc.Close()
+	}
+	for _, f := range c.queue {
+		for _, a := range f.calls {
+			c.pool.end(a, &Error{stage, err}, nil)
+		}
+	}
+	c.queue = nil
+	for _, a := range c.out {
+		if a.written {
+			c.pool.end(a, &Error{Written, err}, nil)
+		}
+	}
+	close(c.work)
+}
+
+// broken is fail for a goroutine that does not hold the lock.
+func (c *conn) broken(err error) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if !c.closed {
+		c.pool.log.WithField("server", c.srv.HostPort).Debugf("connection ends: %v", err)
+	}
+	c.fail(err)
+}
+
+// guard keeps a panic from going further than its connection.
+func (c *conn) guard() {
+	if fault := recover(); fault != nil {
+		c.pool.log.WithField("stack", string(debug.Stack())).Errorf("connection to shard server: %v", fault)
+		c.broken(fmt.Errorf("panic: %v", fault))
+	}
+}
+
+// run sets the connection up and then writes what is queued until it ends.
+func (c *conn) run(address string) {
+	defer c.guard()
+	dialer := net.Dialer{Timeout: c.pool.connectTime}
+	nc, err := dialer.Dial("tcp", address)
+	if err != nil {
+		c.broken(err)
+		return
+	}
+	c.pool.mu.Lock()
+	if c.closed {
+		nc.Close()
+		c.pool.mu.Unlock()
+		return
+	}
+	c.nc = nc
+	c.pool.mu.Unlock()
+	go c.read(nc)
+	var buf []byte
+	for range c.work {
+		for {
+			f, more := c.next()
+			if !more {
+				break
+			}
+			if buf, err = c.write(nc, buf[:0], f); err != nil {
+				c.broken(err)
+			}
+		}
+	}
+}
+
+func (c *conn) next() (frame, bool) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if len(c.queue) == 0 {
+		return frame{}, false
+	}
+	f := c.queue[0]
+	c.queue = c.queue[1:]
+	return f, true
+}
+
+// write puts one frame on the wire. What has become forbidden while it waited is left out.
+func (c *conn) write(nc net.Conn, buf []byte, f frame) ([]byte, error) {
+	if f.giveUp != "" {
+		buf = appendGiveUp(buf, f.giveUp)
+		nc.SetWriteDeadline(time.Now().Add(c.pool.connectTime))
+		_, err := nc.Write(buf)
+		return buf, err
+	}
+	live, longest := c.begin(f.calls)
+	if len(live) == 0 {
+		return buf, nil
+	}
+	buf = appendCall(buf, live)
+	nc.SetWriteDeadline(time.Now().Add(longest))
+	n, err := nc.Write(buf)
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	for _, a := range live {
+		a.call.End()
+		switch {
+		case err != nil && n < len(buf):
+			c.pool.end(a, &Error{Writing, err}, nil)
+		case c.closed:
+			c.pool.end(a, &Error{Written, errors.Join(err, errors.New("connection ended"))}, nil)
+		default:
+			a.written = true
+		}
+	}
+	return buf, err
+}
+
+// begin picks the calls that may still be written, and the longest of their times.
+func (c *conn) begin(calls []*attempt) (live []*attempt, longest time.Duration) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	for _, a := range calls {
+		if c.pool.attempts[a.call] != a {
+			continue
+		}
+		// A server that was told to drain while the call waited gets nothing new, grace or not.
+		if c.closed || c.srv.State != gather.Running || c.out[a.id] != nil || !a.call.Begin() {
+			c.pool.end(a, &Error{NotSent, errForbidden}, nil)
+			continue
+		}
+		c.out[a.id] = a
+		live = append(live, a)
+		longest = max(longest, time.Duration(a.call.Timeout*1e6))
+	}
+	return live, longest
+}
+
+// read takes answers until the connection ends or its framing is lost.
+func (c *conn) read(nc net.Conn) {
+	defer c.guard()
+	r := bufio.NewReader(nc)
+	var buf []byte
+	for {
+		letter, body, kept, err := readFrame(r, buf)
+		buf = kept
+		if err == nil {
+			err = c.heard(letter, body)
+		}
+		if err != nil {
+			c.broken(err)
+			return
+		}
+	}
+}
+
+func (c *conn) heard(letter byte, body []byte) error {
+	switch letter {
+	case 'A':
+		ans, err := parseAnswer(body)
+		if err != nil {
+			return err
+		}
+		return c.answered(ans)
+	case 'E':
+		return fmt.Errorf("shard server could not use a frame: %.200q", body)
+	case 'P', 'L':
+		return nil // answers to probes, which are not sent
+	}
+	return fmt.Errorf("frame with the letter %q", letter)
+}
+
+// answered ends the call that an answer is for; one that was given up is no longer waited for.
+func (c *conn) answered(ans answer) error {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	a := c.out[ans.id]
+	if a == nil {
+		return nil
+	}
+	switch ans.end {
+	case "ok":
+		c.pool.end(a, nil, ans.value)
+	case "busy":
+		c.pool.end(a, &Error{TurnedAway, errBusy}, nil)
+	case "err":
+		c.pool.end(a, &Error{Failed, errFailed}, nil)
+	default:
+		return fmt.Errorf("answer that ends in %.50q", ans.end)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/shardcall/errors.go
@@ -0,0 +1,69 @@
+package shardcall
+
+import (
+	"errors"
+	"fmt"
+
+	"yokeroute/gather"
+)
+
+// Stage is how far a part call had come when it ended.
+type Stage int
+
+const (
+	NotSent     Stage = iota // it had become forbidden before its first byte
+	Connecting               // the connection was refused or never came up
+	Writing                  // the connection broke before the frame's last byte
+	Written                  // the connection broke or lost its framing after that
+	TurnedAway               // the shard server said busy
+	Failed                   // the shard server said err
+	OutOfTime                // no answer while it was waited for
+	GivenUp                  // the module gave it up after it was written
+	stageNumber              // how many there are
+)
+
+// outcomes says what each stage proves, for the module. It is the one place where that is said: a once-only
+// part is sent again only on the word of this table. Where the frame's last byte may be out, it may have run.
+var outcomes = [stageNumber]gather.Outcome{
+	NotSent:    gather.Stale,
+	Connecting: gather.Unreached,
+	Writing:    gather.Unreached,
+	Written:    gather.Cut,
+	TurnedAway: gather.Full,
+	Failed:     gather.Erred,
+	OutOfTime:  gather.TimedOut,
+	GivenUp:    gather.CalledOff,
+}
+
+// Error tells how far a part call had come, and why it went no further.
+type Error struct {
+	Stage Stage
+	Err   error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("part call ended at stage %d: %v", e.Stage, e.Err) }
+
+func (e *Error) Unwrap() error { return e.Err }
+
+// Outcome is what the module is told of a part call that ended so; one that is no *Error may have run.
+func Outcome(err error) gather.Outcome {
+	var e *Error
+	switch {
+	case err == nil:
+		return gather.Answered
+	case errors.As(err, &e) && e.Stage >= 0 && e.Stage < stageNumber:
+		return outcomes[e.Stage]
+	}
+	return gather.Cut
+}
+
+var (
+	errForbidden = errors.New("no longer allowed")
+	errBusy      = errors.New("shard server is busy")
+	errFailed    = errors.New("shard server failed")
+	errTime      = errors.New("time is up")
+	errGivenUp   = errors.New("given up")
+	errIdle      = errors.New("idle")
+	errRetired   = errors.New("shard server has gone or moved")
+	errUnknown   = errors.New("shard server is not on the list")
+)
--- /dev/null
+++ b/internal/shardcall/pool.go
@@ -0,0 +1,201 @@
+// Package shardcall carries part calls to shard servers and tells how each one ended.
+//
+// It speaks frames on plain TCP, which http.Transport cannot: docs/sockets.md shows it. It decides nothing:
+// which server is asked, when and how often is the module's word.
+package shardcall
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"yokeroute/gather"
+	"yokeroute/internal/pick"
+)
+
+// Reporter hears how part calls ended; it must not block.
+type Reporter interface {
+	Report(c *pick.Call, outcome gather.Outcome, value []byte)
+}
+
+// Address is where a server of the list is reached.
+type Address struct {
+	ID       uint32
+	HostPort string
+	State    gather.State
+}
+
+// Pool holds the connections to all shard servers. One lock guards it all: there are a few hundred part calls
+// a second at the most, and none holds it while it waits for the network.
+type Pool struct {
+	reporter    Reporter
+	log         *logrus.Logger
+	connectTime time.Duration
+	idleTime    time.Duration
+	perFrame    int
+	perConn     int
+
+	mu       sync.Mutex
+	servers  map[uint32]*server
+	attempts map[*pick.Call]*attempt
+}
+
+// server is one shard server and the connections to it that may take calls.
+type server struct {
+	Address
+	conns []*conn
+}
+
+// attempt is a part call between its decision and its end.
+type attempt struct {
+	call    *pick.Call
+	id      string
+	srv     *server
+	on      *conn
+	timer   *time.Timer
+	written bool
+}
+
+// New makes a pool that keeps the limits in the terms.
+func New(terms gather.Terms, reporter Reporter, log *logrus.Logger) *Pool {
+	span := func(name string) time.Duration { return time.Duration(terms.Num(name) * 1e6) }
+	p := &Pool{reporter: reporter, log: log, connectTime: span("connect time-out"),
+		perFrame: max(int(terms.Num("parts a call")), 1), perConn: max(int(terms.Num("streams")), 1),
+		servers: map[uint32]*server{}, attempts: map[*pick.Call]*attempt{}}
+	// A connection that has stood idle for the time in the terms swallows what is written to it. It is closed
+	// before that by the time that setting one up may take, against a call that crosses the other side's close.
+	p.idleTime = max(span("idle close")-p.connectTime, span("idle close")/2)
+	return p
+}
+
+// Follow takes over the addresses of all servers that are on the list. Those of servers that have left it, or
+// that are found elsewhere now, take no new calls; what is out on them may still be answered.
+func (p *Pool) Follow(list []Address) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := make(map[uint32]bool, len(list))
+	for _, a := range list {
+		listed[a.ID] = true
+		s := p.servers[a.ID]
+		if s == nil {
+			s = &server{}
+			p.servers[a.ID] = s
+		} else if s.HostPort != a.HostPort {
+			p.retire(s)
+		}
+		s.Address = a
+	}
+	for id, s := range p.servers {
+		if !listed[id] || s.State == gather.Gone {
+			s.State = gather.Gone
+			p.retire(s)
+			delete(p.servers, id)
+		}
+	}
+}
+
+// retire closes what is idle and leaves the rest to close once it is.
+func (p *Pool) retire(s *server) {
+	for _, c := range s.conns {
+		c.retired = true
+		if c.booked == 0 {
+			defer c.fail(errRetired)
+		}
+	}
+	s.conns = nil
+}
+
+// Carry does what a round has ordered. It does not wait for the network.
+func (p *Pool) Carry(o pick.Orders) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var order []*server
+	turns := map[*server][]*attempt{}
+	for _, call := range o.Calls {
+		a := &attempt{call: call, id: call.ID(), srv: p.servers[call.Server]}
+		p.attempts[call] = a
+		if a.srv == nil {
+			p.end(a, &Error{NotSent, errUnknown}, nil)
+			continue
+		}
+		a.timer = time.AfterFunc(time.Duration(call.Timeout*1e6), func() { p.abandon(call, OutOfTime, errTime) })
+		if turns[a.srv] == nil {
+			order = append(order, a.srv)
+		}
+		turns[a.srv] = append(turns[a.srv], a)
+	}
+	for _, s := range order {
+		for turn := turns[s]; len(turn) > 0; {
+			n := min(len(turn), p.perFrame)
+			p.connFor(s, n).enqueue(frame{calls: turn[:n:n]})
+			turn = turn[n:]
+		}
+	}
+	for _, call := range o.Off {
+		p.abandonLocked(call, GivenUp, errGivenUp)
+	}
+}
+
+// connFor gives a connection with room for so many parts, opening one only where none has.
+func (p *Pool) connFor(s *server, n int) *conn {
+	for _, c := range s.conns {
+		if c.booked == 0 || c.booked+n <= p.perConn {
+			return c
+		}
+	}
+	c := &conn{pool: p, srv: s, out: map[string]*attempt{}, work: make(chan struct{}, 1)}
+	s.conns = append(s.conns, c)
+	go c.run(s.HostPort)
+	return c
+}
+
+func (p *Pool) abandon(call *pick.Call, stage Stage, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.abandonLocked(call, stage, err)
+}
+
+// abandonLocked gives up a call that is still out; one whose bytes have not begun to go was never sent.
+func (p *Pool) abandonLocked(call *pick.Call, stage Stage, err error) {
+	a := p.attempts[call]
+	if a == nil {
+		return
+	}
+	if a.on == nil || a.on.out[a.id] != a {
+		p.end(a, &Error{NotSent, err}, nil)
+		return
+	}
+	c := a.on
+	p.end(a, &Error{stage, err}, nil)
+	c.enqueue(frame{giveUp: a.id})
+}
+
+// end reports a call, once, and frees its place. The lock is held.
+func (p *Pool) end(a *attempt, err error, value []byte) {
+	if p.attempts[a.call] != a {
+		return
+	}
+	delete(p.attempts, a.call)
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	if c := a.on; c != nil {
+		if c.out[a.id] == a {
+			delete(c.out, a.id)
+		}
+		c.free()
+	}
+	p.reporter.Report(a.call, Outcome(err), value)
+}
+
+// Sockets is how many connections are open or being opened.
+func (p *Pool) Sockets() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, s := range p.servers {
+		n += len(s.conns)
+	}
+	return n
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -12,6 +12,7 @@
 	"strconv"
 
 	"yokeroute/gather"
+	"yokeroute/internal/terms"
 	"yokeroute/logic"
 )
 
@@ -162,11 +163,11 @@
 	in := h.instances[id]
 	switch m.Cmd {
 	case "Hello":
-		terms, err := readTerms(m.Info)
+		t, err := terms.Read(m.Info)
 		if err != nil {
 			return err
 		}
-		in = &instance{logic: logic.New(m.Seed, terms)}
+		in = &instance{logic: logic.New(m.Seed, t)}
 		h.instances[id] = in
 	case "Kill":
 		delete(h.instances, id)
--- a/internal/simwire/terms.go
+++ b/internal/terms/terms.go
@@ -1,4 +1,5 @@
-package simwire
+// Package terms puts the settings, as simulator and platform word them, into the project's words.
+package terms
 
 import (
 	"encoding/json"
@@ -34,6 +35,7 @@
 	Domain struct {
 		Cells        float64   `json:"cells"`
 		InARow       float64   `json:"inARow"`
+		Shards       float64   `json:"shards"`
 		Call         float64   `json:"call"`
 		PartsACall   float64   `json:"partsACall"`
 		ClassFloor   []float64 `json:"classFloor"`
@@ -46,10 +48,12 @@
 		Cancel         bool    `json:"cancel"`
 		ConnectTimeout float64 `json:"connectTimeout"`
 		MaxRetryAfter  float64 `json:"maxRetryAfter"`
+		IdleClose      float64 `json:"idleClose"`
 		MostHeld       float64 `json:"mostHeld"`
 		Probes         bool    `json:"probes"`
 		RetryAfter     bool    `json:"retryAfter"`
 		SecondCopies   bool    `json:"secondCopies"`
+		Streams        float64 `json:"streamsPerConn"`
 	} `json:"limits"`
 	LoadInfo struct {
 		How string `json:"how"`
@@ -68,6 +72,8 @@
 	} `json:"rules"`
 }
 
+func ms(us float64) float64 { return us / 1000 }
+
 var effects = map[string]string{"pure": "idempotent", "token": "fingerprinted", "side_effect": "once-only"}
 
 // at is a value of a list that goes class by class; a site may leave such a list out.
@@ -78,8 +84,8 @@
 	return otherwise
 }
 
-// readTerms puts the settings into the project's words.
-func readTerms(info json.RawMessage) (gather.Terms, error) {
+// Read takes the settings apart. Their times are microseconds, those of the terms milliseconds.
+func Read(info json.RawMessage) (gather.Terms, error) {
 	var s settings
 	if err := json.Unmarshal(info, &s); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -91,10 +97,11 @@
 		"gatherers": s.Balancers, "own number": s.MyNumber, "tick": ms(s.Tick),
 		"counted by": s.CountedBy, "gain over share": s.OverShare,
 		"list is asked for": s.Discovery == "on_request", "zone": s.Zone, "sizes": s.Weights,
-		"groups": s.Domain.Cells, "groups in a row": s.Domain.InARow,
+		"groups": s.Domain.Cells, "groups in a row": s.Domain.InARow, "shards": s.Domain.Shards,
 		"call cost": ms(s.Domain.Call), "parts a call": s.Domain.PartsACall,
 		"most calls": s.Limits.AttemptsCap, "call off": s.Limits.Cancel, "probes": s.Limits.Probes,
 		"connect time-out": ms(s.Limits.ConnectTimeout), "most held": s.Limits.MostHeld,
+		"idle close": ms(s.Limits.IdleClose), "streams": s.Limits.Streams,
 		"second copies": s.Limits.SecondCopies, "reports": s.LoadInfo.How,
 		"answer slack": ms(s.Rules.AnswerSlack), "drain grace": ms(s.Rules.DrainGrace),
 		"cold time": ms(s.Rules.Cold), "cold share": s.Rules.ColdShare,
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -3,7 +3,7 @@
 // One Gatherer stands for one gatherer and shares nothing with others. Call New once with a seed and the
 // terms, then Round with all that came in at one moment; the decisions go straight into the writer passed
 // with the call. The types and the writer are in package gather, the names of the terms in
-// internal/simwire/terms.go. The same calls always give the same decisions: the time is the round's, chance
+// internal/terms. The same calls always give the same decisions: the time is the round's, chance
 // comes from the seed, and no decision follows the order of a map. Why each piece is so: docs/design.md.
 package logic
 
