Part calls tested stage by stage; silent connections left, client connections kept within their bound

A call that breaks proves something about having run at each stage: the tests break it there, half-written frames included. Connections on which calls were out for a soft deadline and nothing was heard get no new calls.

--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 
@@ -51,11 +52,14 @@
 		return nil, &fault{http.StatusNotFound, fmt.Sprintf("no index %q", index)}
 	case r.Method != http.MethodPost:
 		return nil, &fault{http.StatusMethodNotAllowed, "a lookup is a POST"}
+	case s.marked[index]:
+		// Without its mark a repeat would run twice, and the protocol's pages do not say how it travels.
+		return nil, &fault{http.StatusNotImplemented, "fingerprinted lookups cannot be passed on yet"}
 	}
 	h := r.Header
 	lk := &pick.Lookup{ID: h.Get("X-Request-ID"), Index: index, Customer: h.Get("X-Tenant-Id"),
 		Key: h.Get("X-Route-Key"), Retry: h.Get("X-Retried") == "1"}
-	if lk.ID == "" || len(lk.ID) > longestID || strings.ContainsAny(lk.ID, " .\t") {
+	if lk.ID == "" || len(lk.ID) > longestID || strings.ContainsFunc(lk.ID, func(c rune) bool { return c <= ' ' || c == 0x7f }) {
 		return nil, bad("X-Request-ID: %.40q", lk.ID)
 	}
 	if len(s.customers) > 0 && !s.customers[lk.Customer] {
@@ -126,6 +130,8 @@
 		return f.status
 	case errors.As(err, &large):
 		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
 	}
 	return http.StatusBadRequest
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/net/netutil"
 
 	"yokeroute/gather"
 	"yokeroute/internal/pick"
@@ -42,7 +41,8 @@
 	indexes   map[string]bool
 	customers map[string]bool
 	shards    int
-	clients   int
+	marked    map[string]bool // indexes whose lookups carry a mark that the protocol cannot pass on
+	conns     *conns
 	leaving   atomic.Bool
 
 	mu     sync.Mutex
@@ -51,11 +51,19 @@
 
 // New makes a server that holds so many client connections at most; ready says whether lookups can be served.
 func New(picker Picker, terms gather.Terms, clients int, ready func() bool, log *logrus.Logger) *Server {
-	s := &Server{picker: picker, log: log, ready: ready, clients: clients, shards: int(terms.Num("shards")),
-		indexes: set(terms.Names("indexes")), customers: set(terms.Names("customers")), inHand: map[string]bool{}}
+	s := &Server{picker: picker, log: log, ready: ready, conns: newConns(clients), shards: int(terms.Num("shards")),
+		indexes: set(terms.Names("indexes")), customers: set(terms.Names("customers")), marked: map[string]bool{},
+		inHand: map[string]bool{}}
+	for name := range s.indexes {
+		if terms.Text(name+"/effect") == "fingerprinted" {
+			s.marked[name] = true
+			log.WithField("index", name).Warn("fingerprinted: its lookups are turned away, their mark cannot be passed on")
+		}
+	}
 	errorLog := log.WriterLevel(logrus.DebugLevel)
 	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: headTime, MaxHeaderBytes: mostHeaders,
-		ErrorLog: stdlog.New(errorLog, "", 0)}
+		ConnState: s.conns.state,
+		ErrorLog:  stdlog.New(errorLog, "", 0)}
 	return s
 }
 
@@ -69,7 +77,7 @@
 
 // Serve takes connections until Drain has ended.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(netutil.LimitListener(l, s.clients))
+	err := s.http.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -113,6 +121,11 @@
 
 // lookup takes one lookup from its first byte to its answer.
 func (s *Server) lookup(w http.ResponseWriter, r *http.Request) error {
+	if s.conns.crowded() {
+		w.Header().Set("Connection", "close")
+		answer(w, pick.Verdict{Kind: pick.Nacked})
+		return nil
+	}
 	now := s.picker.Now()
 	lk, err := s.readHead(r, now)
 	if err != nil {
--- a/internal/shardcall/conn.go
+++ b/internal/shardcall/conn.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"yokeroute/gather"
@@ -26,6 +27,8 @@
 	queue   []frame
 	out     map[string]*attempt // begun or written, not ended
 	booked  int                 // queued, begun or written, not ended
+	quiet   time.Duration       // that calls were out before, all since the last frame came
+	since   time.Time           // since when calls are out, or the last frame came if that is later
 	idle    *time.Timer
 	work    chan struct{}
 	retired bool
@@ -65,6 +68,22 @@
 	}
 }
 
+// calm notes for how long calls were out once none is any more, against counting the time in which nothing
+// could be heard.
+func (c *conn) calm() {
+	if len(c.out) == 0 {
+		c.quiet += time.Since(c.since)
+	}
+}
+
+// quietFor is for how long calls have been out since anything was heard.
+func (c *conn) quietFor() time.Duration {
+	if len(c.out) == 0 {
+		return c.quiet
+	}
+	return c.quiet + time.Since(c.since)
+}
+
 func (c *conn) closeIdle() {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
@@ -73,6 +92,20 @@
 	}
 }
 
+// leave takes the connection out of those that may get calls.
+func (c *conn) leave() {
+	c.srv.conns = slices.DeleteFunc(c.srv.conns, func(other *conn) bool { return other == c })
+}
+
+// retire lets a connection end once nothing is out on it. The lock is held.
+func (c *conn) retire(err error) {
+	c.leave()
+	c.retired = true
+	if c.booked == 0 {
+		c.fail(err)
+	}
+}
+
 // fail closes the connection and ends all that is on it but what is being written, which its writer ends.
 // The lock is held.
 func (c *conn) fail(err error) {
@@ -80,12 +113,7 @@
 		return
 	}
 	c.closed = true
-	for i, other := range c.srv.conns {
-		if other == c {
-			c.srv.conns = append(c.srv.conns[:i:i], c.srv.conns[i+1:]...)
-			break
-		}
-	}
+	c.leave()
 	if c.idle != nil {
 		c.idle.Stop()
 	}
@@ -130,8 +158,7 @@
 // run sets the connection up and then writes what is queued until it ends.
 func (c *conn) run(address string) {
 	defer c.guard()
-	dialer := net.Dialer{Timeout: c.pool.connectTime}
-	nc, err := dialer.Dial("tcp", address)
+	nc, err := c.pool.dial(address)
 	if err != nil {
 		c.broken(err)
 		return
@@ -145,13 +172,16 @@
 	c.nc = nc
 	c.pool.mu.Unlock()
 	go c.read(nc)
+	c.writeAll(nc)
+}
+
+// writeAll writes what is queued until the connection ends.
+func (c *conn) writeAll(nc net.Conn) {
+	defer c.guard()
 	var buf []byte
 	for range c.work {
-		for {
-			f, more := c.next()
-			if !more {
-				break
-			}
+		for f, more := c.next(); more; f, more = c.next() {
+			var err error
 			if buf, err = c.write(nc, buf[:0], f); err != nil {
 				c.broken(err)
 			}
@@ -214,6 +244,9 @@
 			c.pool.end(a, &Error{NotSent, errForbidden}, nil)
 			continue
 		}
+		if len(c.out) == 0 {
+			c.since = time.Now()
+		}
 		c.out[a.id] = a
 		live = append(live, a)
 		longest = max(longest, time.Duration(a.call.Timeout*1e6))
@@ -259,6 +292,7 @@
 func (c *conn) answered(ans answer) error {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
+	c.quiet, c.since = 0, time.Now()
 	a := c.out[ans.id]
 	if a == nil {
 		return nil
--- a/internal/shardcall/errors.go
+++ b/internal/shardcall/errors.go
@@ -65,5 +65,6 @@
 	errGivenUp   = errors.New("given up")
 	errIdle      = errors.New("idle")
 	errRetired   = errors.New("shard server has gone or moved")
+	errSilent    = errors.New("connection has been silent")
 	errUnknown   = errors.New("shard server is not on the list")
 )
--- a/internal/shardcall/pool.go
+++ b/internal/shardcall/pool.go
@@ -5,6 +5,9 @@
 package shardcall
 
 import (
+	"math"
+	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +36,8 @@
 	log         *logrus.Logger
 	connectTime time.Duration
 	idleTime    time.Duration
+	silence     time.Duration
+	dial        func(address string) (net.Conn, error)
 	perFrame    int
 	perConn     int
 
@@ -47,6 +52,13 @@
 	conns []*conn
 }
 
+// retire leaves all connections without new calls.
+func (s *server) retire() {
+	for _, c := range slices.Clone(s.conns) {
+		c.retire(errRetired)
+	}
+}
+
 // attempt is a part call between its decision and its end.
 type attempt struct {
 	call    *pick.Call
@@ -63,9 +75,16 @@
 	p := &Pool{reporter: reporter, log: log, connectTime: span("connect time-out"),
 		perFrame: max(int(terms.Num("parts a call")), 1), perConn: max(int(terms.Num("streams")), 1),
 		servers: map[uint32]*server{}, attempts: map[*pick.Call]*attempt{}}
+	p.dial = func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, p.connectTime) }
 	// A connection that has stood idle for the time in the terms swallows what is written to it. It is closed
 	// before that by the time that setting one up may take, against a call that crosses the other side's close.
 	p.idleTime = max(span("idle close")-p.connectTime, span("idle close")/2)
+	// On a machine that vanished, open connections stay silent for good, and only a new one shows it: where
+	// calls were out for the shortest soft deadline and nothing at all was heard, the next call gets a new one.
+	p.silence = math.MaxInt64
+	for _, index := range terms.Names("indexes") {
+		p.silence = min(p.silence, span(index+"/soft deadline"))
+	}
 	return p
 }
 
@@ -82,30 +101,19 @@
 			s = &server{}
 			p.servers[a.ID] = s
 		} else if s.HostPort != a.HostPort {
-			p.retire(s)
+			s.retire()
 		}
 		s.Address = a
 	}
 	for id, s := range p.servers {
 		if !listed[id] || s.State == gather.Gone {
 			s.State = gather.Gone
-			p.retire(s)
+			s.retire()
 			delete(p.servers, id)
 		}
 	}
 }
 
-// retire closes what is idle and leaves the rest to close once it is.
-func (p *Pool) retire(s *server) {
-	for _, c := range s.conns {
-		c.retired = true
-		if c.booked == 0 {
-			defer c.fail(errRetired)
-		}
-	}
-	s.conns = nil
-}
-
 // Carry does what a round has ordered. It does not wait for the network.
 func (p *Pool) Carry(o pick.Orders) {
 	p.mu.Lock()
@@ -139,6 +147,11 @@
 
 // connFor gives a connection with room for so many parts, opening one only where none has.
 func (p *Pool) connFor(s *server, n int) *conn {
+	for _, c := range slices.Clone(s.conns) {
+		if c.quietFor() > p.silence {
+			c.retire(errSilent)
+		}
+	}
 	for _, c := range s.conns {
 		if c.booked == 0 || c.booked+n <= p.perConn {
 			return c
@@ -183,6 +196,7 @@
 	if c := a.on; c != nil {
 		if c.out[a.id] == a {
 			delete(c.out, a.id)
+			c.calm()
 		}
 		c.free()
 	}
--- /dev/null
+++ b/internal/shardcall/pool_test.go
@@ -0,0 +1,357 @@
+package shardcall
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"yokeroute/gather"
+	"yokeroute/internal/pick"
+	"yokeroute/internal/standin"
+)
+
+// desk is a pool with a facade before it, whose reports a test can read. The module behind it has one
+// index with replicas by group; with one server the decisions are plain.
+type desk struct {
+	*Pool
+	picker  *pick.Picker
+	reports chan report
+}
+
+type report struct {
+	id      string
+	outcome gather.Outcome
+	value   string
+}
+
+func (d *desk) Report(c *pick.Call, outcome gather.Outcome, value []byte) {
+	d.reports <- report{c.ID(), outcome, string(value)}
+	d.picker.Report(c, outcome, value)
+}
+
+func quiet() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func newDesk(t *testing.T, address string, change gather.Terms) *desk {
+	terms := gather.Terms{"indexes": []string{"i"}, "i/soft deadline": 2000.0, "i/whole from": 1.0, "i/least share": 1.0,
+		"i/late share": 0.1, "i/effect": "once-only", "groups": 1.0, "groups in a row": 1.0, "call off": true, "tick": 1.0,
+		"connect time-out": 2000.0, "idle close": 30000.0, "parts a call": 2.0, "streams": 4.0, "most calls": 1.0,
+		"call cost": 1.0}
+	for name, value := range change {
+		terms[name] = value
+	}
+	d := &desk{picker: pick.New(1, terms, quiet()), reports: make(chan report, 100)}
+	d.Pool = New(terms, d, quiet())
+	d.list(address, gather.Running)
+	ctx, stop := context.WithCancel(t.Context())
+	t.Cleanup(stop)
+	go func() {
+		for {
+			orders, err := d.picker.Tick(ctx)
+			if err != nil {
+				return
+			}
+			d.Carry(orders)
+		}
+	}()
+	return d
+}
+
+func (d *desk) list(address string, state gather.State) {
+	d.Follow([]Address{{ID: 7, HostPort: address, State: state}})
+	d.picker.Follow(gather.List{Full: true, Servers: []gather.Server{{ID: 7, State: state}}})
+}
+
+// ask sends a lookup of so many parts on its way and gives back how it will end.
+func (d *desk) ask(ctx context.Context, id string, parts int, wait float64) <-chan pick.Verdict {
+	lk := &pick.Lookup{ID: id, Index: "i", GiveUpAt: d.picker.Now() + wait, Text: []byte("text of " + id)}
+	for shard := range parts {
+		lk.Parts = append(lk.Parts, pick.Part{Shard: shard, Weight: 1 / float64(parts)})
+	}
+	done := make(chan pick.Verdict, 1)
+	go func() { done <- d.picker.Pick(ctx, lk) }()
+	return done
+}
+
+func (d *desk) want(t *testing.T, id string, outcome gather.Outcome) {
+	t.Helper()
+	if got := <-d.reports; got.id != id || got.outcome != outcome {
+		t.Errorf("%s ended as %d, want %s as %d", got.id, got.outcome, id, outcome)
+	}
+}
+
+// TestStages breaks a call at each stage. What it proves about having run is the rule against two effects.
+func TestStages(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		act    func(c *standin.Conn, id string)
+		want   gather.Outcome
+		broken bool // the connection is not used again
+	}{
+		{"answered", func(c *standin.Conn, id string) { c.Answer(id, "ok", "v") }, gather.Answered, false},
+		{"busy", func(c *standin.Conn, id string) { c.Answer(id, "busy", "") }, gather.Full, false},
+		{"failed", func(c *standin.Conn, id string) { c.Answer(id, "err", "") }, gather.Erred, false},
+		{"ended after the frame", func(c *standin.Conn, _ string) { c.Close() }, gather.Cut, true},
+		{"reset after the frame", func(c *standin.Conn, _ string) { c.Reset() }, gather.Cut, true},
+		{"frame that could not be used", func(c *standin.Conn, _ string) { c.Write('E', "no such shard") }, gather.Cut, true},
+		{"unknown letter", func(c *standin.Conn, _ string) { c.Write('Z', "") }, gather.Cut, true},
+		{"unknown ending", func(c *standin.Conn, id string) { c.Answer(id, "maybe", "") }, gather.Cut, true},
+		{"answer without its line", func(c *standin.Conn, id string) { c.Write('A', id) }, gather.Cut, true},
+		{"length too long", func(c *standin.Conn, _ string) { c.Conn.Write([]byte{255, 255, 255, 255, 'A'}) }, gather.Cut, true},
+		{"length zero", func(c *standin.Conn, _ string) { c.Conn.Write([]byte{0, 0, 0, 0}) }, gather.Cut, true},
+		{"frame cut off", func(c *standin.Conn, _ string) { c.Conn.Write([]byte{9, 0, 0, 0, 'A'}); c.Close() }, gather.Cut, true},
+		{"answer to nobody, then the answer", func(c *standin.Conn, id string) {
+			c.Answer("other.0", "ok", "")
+			c.Answer(id, "ok", "v")
+		}, gather.Answered, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			shard := standin.NewShard(t)
+			d := newDesk(t, shard.Address(), nil)
+			done := d.ask(t.Context(), "a", 1, 2000)
+			conn := shard.Take()
+			f := conn.Read()
+			if len(f.Parts) != 1 || f.Parts[0].ID != "a.0" || f.Parts[0].Text != "text of a" ||
+				!strings.HasPrefix(f.Parts[0].List, "d=") {
+				t.Fatalf("frame %+v", f)
+			}
+			c.act(conn, "a.0")
+			d.want(t, "a.0", c.want)
+			v := <-done
+			if (v.Kind == pick.Satisfied) != (c.want == gather.Answered) {
+				t.Errorf("verdict %+v", v)
+			}
+			if v.Kind == pick.Nacked && !c.want.Unrun() {
+				t.Error("nacked, though it may have run")
+			}
+			if c.broken {
+				return
+			}
+			done = d.ask(t.Context(), "b", 1, 2000)
+			if f := conn.Read(); len(f.Parts) != 1 || f.Parts[0].ID != "b.0" {
+				t.Errorf("the connection was not used again: %+v", f)
+			}
+			conn.Answer("b.0", "ok", "w")
+			if v := <-done; v.Kind != pick.Satisfied || string(v.Hits[0].Value) != "w" {
+				t.Errorf("verdict %+v", v)
+			}
+		})
+	}
+}
+
+func TestRefused(t *testing.T) {
+	shard := standin.NewShard(t)
+	shard.Close()
+	d := newDesk(t, shard.Address(), nil)
+	done := d.ask(t.Context(), "a", 1, 2000)
+	d.want(t, "a.0", gather.Unreached)
+	if v := <-done; v.Kind != pick.Nacked {
+		t.Errorf("verdict %+v: it never ran, so that the client may come again", v)
+	}
+}
+
+// TestHalfWritten guards against calling a frame that went out in part one that may have run, and against
+// calling one that went out whole one that never ran.
+func TestHalfWritten(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		whole bool
+		want  gather.Outcome
+	}{{"broken before the last byte", false, gather.Unreached}, {"broken after it", true, gather.Cut}} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDesk(t, "127.0.0.1:1", gather.Terms{"i/effect": "idempotent"})
+			ours, theirs := net.Pipe()
+			// The server has a connection already, over a pipe, which takes just as many bytes as are read.
+			d.mu.Lock()
+			c1 := &conn{pool: d.Pool, srv: d.servers[7], nc: ours, out: map[string]*attempt{}, work: make(chan struct{}, 1)}
+			d.servers[7].conns = []*conn{c1}
+			d.mu.Unlock()
+			go c1.read(ours)
+			go c1.writeAll(ours)
+			d.ask(t.Context(), "a", 1, 2000)
+			head := make([]byte, 5)
+			io.ReadFull(theirs, head)
+			if c.whole {
+				io.ReadFull(theirs, make([]byte, int(head[0])-1))
+			}
+			theirs.Close()
+			d.want(t, "a.0", c.want)
+		})
+	}
+}
+
+// TestFrames looks at what travels together: parts of one turn, up to the number in the terms, on as few
+// connections as have room.
+func TestFrames(t *testing.T) {
+	shard := standin.NewShard(t)
+	d := newDesk(t, shard.Address(), nil)
+	done := d.ask(t.Context(), "a", 6, 2000)
+	frames := make(chan standin.Frame, 3)
+	for range 2 {
+		conn := shard.Take()
+		go func() {
+			for f := conn.Read(); f.Letter != 0; f = conn.Read() {
+				for _, p := range f.Parts {
+					conn.Answer(p.ID, "ok", p.ID)
+				}
+				frames <- f
+			}
+		}()
+	}
+	seen := map[string]bool{}
+	for range 3 {
+		f := <-frames
+		if len(f.Parts) != 2 {
+			t.Errorf("frame of %d parts", len(f.Parts))
+		}
+		for _, p := range f.Parts {
+			seen[p.ID] = true
+		}
+	}
+	if v := <-done; len(seen) != 6 || v.Kind != pick.Satisfied || len(v.Hits) != 6 || string(v.Hits[5].Value) != "a.5" {
+		t.Errorf("asked %v, verdict %+v", seen, v)
+	}
+	if n := d.Sockets(); n != 2 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// TestForbidden holds a call back while its connection is set up and makes it forbidden meanwhile.
+func TestForbidden(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		forbid func(d *desk, leave func())
+	}{
+		{"client has gone", func(_ *desk, leave func()) { leave() }},
+		{"server drains", func(d *desk, _ func()) { d.list(d.servers[7].HostPort, gather.Draining) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			shard := standin.NewShard(t)
+			d := newDesk(t, shard.Address(), nil)
+			ctx, leave := context.WithCancel(t.Context())
+			decided, hold := make(chan struct{}), make(chan struct{})
+			d.dial = func(address string) (net.Conn, error) {
+				close(decided)
+				<-hold
+				return net.Dial("tcp", address)
+			}
+			done := d.ask(ctx, "a", 1, 2000)
+			<-decided // and waits for its connection
+			c.forbid(d, leave)
+			if c.name == "client has gone" {
+				<-done
+			}
+			close(hold)
+			d.want(t, "a.0", gather.Stale)
+			conn := shard.Take()
+			d.list(shard.Address(), gather.Running)
+			d.ask(t.Context(), "b", 1, 2000)
+			if f := conn.Read(); len(f.Parts) != 1 || f.Parts[0].ID != "b.0" {
+				t.Errorf("the first frame was %+v", f)
+			}
+			leave()
+		})
+	}
+}
+
+// TestGivenUp wants the shard server told, the call ended at once, and a late answer ignored.
+func TestGivenUp(t *testing.T) {
+	shard := standin.NewShard(t)
+	d := newDesk(t, shard.Address(), nil)
+	ctx, leave := context.WithCancel(t.Context())
+	done := d.ask(ctx, "a", 1, 2000)
+	conn := shard.Take()
+	conn.Read()
+	leave()
+	if v := <-done; v.Kind != pick.Left {
+		t.Errorf("verdict %+v", v)
+	}
+	d.want(t, "a.0", gather.CalledOff)
+	if f := conn.Read(); f.Letter != 'X' || f.Body != "a.0" {
+		t.Errorf("frame %+v", f)
+	}
+	conn.Answer("a.0", "ok", "late")
+	done = d.ask(t.Context(), "b", 1, 2000)
+	conn.Read()
+	conn.Answer("b.0", "ok", "v")
+	d.want(t, "b.0", gather.Answered)
+	if v := <-done; len(v.Hits) != 1 || string(v.Hits[0].Value) != "v" {
+		t.Errorf("verdict %+v", v)
+	}
+}
+
+// TestSilent wants an answer that never comes to end in time, and the next call on a new connection: the old
+// one may lead to a machine that has vanished.
+func TestSilent(t *testing.T) {
+	shard := standin.NewShard(t)
+	d := newDesk(t, shard.Address(), gather.Terms{"i/soft deadline": 20.0, "tick": 1.0})
+	done := d.ask(t.Context(), "a", 1, 60)
+	shard.Take().Read()
+	if v := <-done; v.Kind != pick.Aborted {
+		t.Errorf("verdict %+v: it may have run", v)
+	}
+	d.ask(t.Context(), "b", 1, 2000)
+	if f := shard.Take().Read(); len(f.Parts) != 1 || f.Parts[0].ID != "b.0" {
+		t.Errorf("frame %+v", f)
+	}
+}
+
+// TestIdle wants a connection closed before the shard server's own idle limit, against a call that is
+// written into its close.
+func TestIdle(t *testing.T) {
+	shard := standin.NewShard(t)
+	d := newDesk(t, shard.Address(), gather.Terms{"idle close": 100.0, "connect time-out": 50.0})
+	done := d.ask(t.Context(), "a", 1, 2000)
+	conn := shard.Take()
+	conn.Read()
+	conn.Answer("a.0", "ok", "v")
+	<-done
+	start := time.Now()
+	if f := conn.Read(); f.Letter != 0 || time.Since(start) > time.Second {
+		t.Errorf("frame %+v after %v", f, time.Since(start))
+	}
+	if n := d.Sockets(); n != 0 {
+		t.Errorf("%d connections left", n)
+	}
+}
+
+// TestMoved wants a server that is found elsewhere reached there, and one that has gone left alone.
+func TestMoved(t *testing.T) {
+	before, after := standin.NewShard(t), standin.NewShard(t)
+	d := newDesk(t, before.Address(), nil)
+	done := d.ask(t.Context(), "a", 1, 2000)
+	conn := before.Take()
+	conn.Read()
+	d.list(after.Address(), gather.Running)
+	d.ask(t.Context(), "b", 1, 2000)
+	if f := after.Take().Read(); len(f.Parts) != 1 || f.Parts[0].ID != "b.0" {
+		t.Errorf("frame %+v", f)
+	}
+	conn.Answer("a.0", "ok", "v")
+	if v := <-done; v.Kind != pick.Satisfied {
+		t.Errorf("verdict %+v: what was out may still be answered", v)
+	}
+	if f := conn.Read(); f.Letter != 0 {
+		t.Errorf("frame %+v on the connection to where it was", f)
+	}
+}
+
+func TestOutcome(t *testing.T) {
+	if got := Outcome(io.EOF); got != gather.Cut {
+		t.Errorf("an error without a stage is %d; it may have run", got)
+	}
+	unrun := map[Stage]bool{NotSent: true, Connecting: true, Writing: true, TurnedAway: true}
+	for s := range stageNumber {
+		if got := Outcome(&Error{s, io.EOF}); got.Unrun() != unrun[s] || got == gather.Answered {
+			t.Errorf("stage %d is outcome %d", s, got)
+		}
+	}
+}
