--- /dev/null
+++ b/internal/discovery/follow_test.go
@@ -0,0 +1,134 @@
+package discovery
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"yokeroute/gather"
+	"yokeroute/internal/shardcall"
+)
+
+const (
+	whole = `{"revision":41,"complete":true,"members":[` +
+		`{"id":"s-5be2a07c","host_port":"127.0.0.1:1","locality":"a","flavor":"m","cell":3,"phase":"in_service","size":1.5,"up_since_ms":7},` +
+		`{"id":"s-00000002","host_port":"127.0.0.1:2","cell":0,"phase":"terminating"}]}`
+	change = `{"revision":43,"complete":false,"members":[{"id":"s-5be2a07c","phase":"terminated"}]}`
+)
+
+func TestParse(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"whole", whole, ""},
+		{"change", change, ""},
+		{"nothing new", `{"revision":41,"complete":false}`, ""},
+		{"not JSON", `<html>`, "invalid"},
+		{"no revision", `{"complete":true}`, "no revision"},
+		{"no id", `{"revision":1,"members":[{"phase":"in_service"}]}`, "members[0]: no id"},
+		{"unknown phase", `{"revision":1,"members":[{"id":"s","phase":"odd"}]}`, `members[0]: phase "odd"`},
+		{"no cell", `{"revision":1,"members":[{"id":"s","phase":"in_service","host_port":"h:1"}]}`, "members[0]: no cell"},
+		{"no address", `{"revision":1,"members":[{"id":"s","phase":"in_service","cell":0}]}`, "members[0]: host_port"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse([]byte(c.text))
+			if (err == nil) != (c.want == "") || err != nil && !strings.Contains(err.Error(), c.want) {
+				t.Errorf("error %v, want %q", err, c.want)
+			}
+		})
+	}
+}
+
+// TestNumber wants numbers that are the same at each gatherer and after each start, and no two servers with one.
+func TestNumber(t *testing.T) {
+	for name, want := range map[string]uint32{"s-5be2a07c": 0x5be2a07c, "s-7": 0x9e73d5e, "s-zzzzzzzz": number("s-zzzzzzzz")} {
+		if got := number(name); name != "s-7" && got != want {
+			t.Errorf("%s is %#x, want %#x", name, got, want)
+		}
+	}
+	f := New("127.0.0.1:1", nil, nil, nil)
+	if a, b, c := f.number("s-00000005"), f.number("t-00000005"), f.number("s-00000005"); a != 5 || b != 6 || c != 5 {
+		t.Errorf("numbers %d, %d, %d", a, b, c)
+	}
+}
+
+// TestFollow plays an agent through a day: whole list, change, bad answers of several kinds, whole list again.
+func TestFollow(t *testing.T) {
+	replies := []struct {
+		query, body string
+		status      int
+	}{
+		{"", whole, 200},
+		{"index=41&wait=2000", change, 200},
+		{"index=43&wait=2000", `{"revision":44,`, 200},
+		{"", "", 500},
+		{"", whole, 200},
+		{"index=41&wait=2000", "", 0},
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	step := 0
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		want := replies[step]
+		if r.URL.Path != "/api/targets" || r.URL.RawQuery != want.query {
+			t.Errorf("call %d asks for %v, want %q", step, r.URL, want.query)
+		}
+		if want.status == 0 {
+			stop()
+			return
+		}
+		step++
+		w.WriteHeader(want.status)
+		io.WriteString(w, want.body)
+	}))
+	defer agent.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	type news struct {
+		list gather.List
+		all  []shardcall.Address
+	}
+	var told []news
+	f := New(strings.TrimPrefix(agent.URL, "http://"), func(l gather.List, all []shardcall.Address) {
+		told = append(told, news{l, all})
+	}, nil, log)
+	f.Run(ctx)
+	first := gather.Server{ID: 0x5be2a07c, Group: 3, Zone: "a", Kind: "m", Size: 1.5, Started: 7}
+	second := gather.Server{ID: 2, State: gather.Draining}
+	both := []shardcall.Address{{ID: first.ID, HostPort: "127.0.0.1:1"}, {ID: 2, HostPort: "127.0.0.1:2", State: gather.Draining}}
+	want := []news{
+		{gather.List{Full: true, Servers: []gather.Server{first, second}}, both},
+		{gather.List{Servers: []gather.Server{{ID: first.ID, State: gather.Gone}}}, []shardcall.Address{{ID: first.ID, State: gather.Gone}, both[1]}},
+		{gather.List{Failed: true}, []shardcall.Address{{ID: first.ID, State: gather.Gone}, both[1]}},
+		{gather.List{Failed: true}, []shardcall.Address{{ID: first.ID, State: gather.Gone}, both[1]}},
+		{gather.List{Full: true, Servers: []gather.Server{first, second}}, both},
+	}
+	if !reflect.DeepEqual(told, want) {
+		t.Errorf("told %+v\nwant %+v", told, want)
+	}
+}
+
+// TestSilent wants an agent that says nothing to count as one that does not answer, and asked again.
+func TestSilent(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	calls := make(chan struct{}, 10)
+	agent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		calls <- struct{}{}
+		<-r.Context().Done()
+	}))
+	defer agent.Close()
+	defer stop()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	failed := make(chan bool, 10)
+	f := New(strings.TrimPrefix(agent.URL, "http://"), func(l gather.List, _ []shardcall.Address) { failed <- l.Failed }, nil, log)
+	go f.Run(ctx)
+	<-calls
+	if !<-failed {
+		t.Error("told a list")
+	}
+	<-calls
+}
--- /dev/null
+++ b/internal/front/server_test.go
@@ -0,0 +1,285 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"yokeroute/gather"
+	"yokeroute/internal/pick"
+)
+
+// fake decides what a test tells it to.
+type fake struct {
+	took   chan *pick.Lookup
+	decide func(ctx context.Context, lk *pick.Lookup) pick.Verdict
+}
+
+func (f *fake) Now() float64 { return 1000 }
+
+func (f *fake) Pick(ctx context.Context, lk *pick.Lookup) pick.Verdict {
+	f.took <- lk
+	return f.decide(ctx, lk)
+}
+
+func start(t *testing.T, clients int, decide func(context.Context, *pick.Lookup) pick.Verdict) (*fake, *Server, string) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := &fake{make(chan *pick.Lookup, 10), decide}
+	s := New(f, gather.Terms{"indexes": []string{"find", "mark"}, "mark/effect": "fingerprinted",
+		"customers": []string{"acme"}, "shards": 10.0}, clients, func() bool { return true }, log)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(l)
+	t.Cleanup(func() { s.http.Close() })
+	return f, s, l.Addr().String()
+}
+
+const (
+	headers = "Host: h\r\nX-Request-ID: a1\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 480\r\n"
+	parts   = `{"shards":[{"shard":3,"weight":0.5,"cost":9000,"key":"k"},{"shard":9,"weight":0.5}],"q":"c41e"}`
+)
+
+func post(path, head, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", path, head, len(body), body)
+}
+
+// talk sends the text and reads so many answers.
+func talk(t *testing.T, address, text string, answers int) (status []int, last string, head http.Header) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, text)
+	r := bufio.NewReader(c)
+	for range answers {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.Close { // the client takes the word out of the headers
+			resp.Header.Set("Connection", "close")
+		}
+		status, last, head = append(status, resp.StatusCode), string(body), resp.Header
+	}
+	return status, last, head
+}
+
+// TestBadInput wants a clear 4xx at once and the connection of use afterwards; the module hears of none.
+func TestBadInput(t *testing.T) {
+	f, _, address := start(t, 10, nil)
+	change := func(old, new string) string { return post("/find", strings.Replace(headers, old, new, 1), parts) }
+	body := func(old, new string) string { return post("/find", headers, strings.Replace(parts, old, new, 1)) }
+	for _, c := range []struct {
+		name, text string
+		want       int
+	}{
+		{"not HTTP", "hello\r\n\r\n", 400},
+		{"unknown index", post("/sing", headers, parts), 404},
+		{"no index", post("/", headers, parts), 404},
+		{"GET", "GET /find HTTP/1.1\r\n" + headers + "\r\n", 405},
+		{"a mark that cannot be passed on", post("/mark", headers, parts), 501},
+		{"no id", change("X-Request-ID: a1\r\n", ""), 400},
+		{"id with a space", change("a1", "a 1"), 400},
+		{"id too long", change("a1", strings.Repeat("a", 200)), 400},
+		{"unknown customer", change("acme", "other"), 400},
+		{"no time-out", change("X-Timeout-Ms: 480\r\n", ""), 400},
+		{"time-out zero", change("480", "0"), 400},
+		{"time-out negative", change("480", "-5"), 400},
+		{"time-out huge", change("480", "99999999999999"), 400},
+		{"time-out infinite", change("480", "Inf"), 400},
+		{"time-out no number", change("480", "soon"), 400},
+		{"no JSON", post("/find", headers, "{"), 400},
+		{"no parts", post("/find", headers, `{"shards":[],"q":"x"}`), 400},
+		{"no text", body(`,"q":"c41e"`, ""), 400},
+		{"text no text", body(`"c41e"`, "7"), 400},
+		{"no shard", body(`"shard":3,`, ""), 400},
+		{"shard below zero", body(`"shard":3`, `"shard":-1`), 400},
+		{"shard unknown", body(`"shard":3`, `"shard":10`), 400},
+		{"shard doubled", body(`"shard":3`, `"shard":9`), 400},
+		{"shard no number", body(`"shard":3`, `"shard":"x"`), 400},
+		{"weight zero", body("0.5", "0"), 400},
+		{"cost negative", body("9000", "-1"), 400},
+		{"body too large", post("/find", headers, strings.Repeat(" ", mostBody)+parts), 413},
+		{"headers too large", change("acme", strings.Repeat("a", 2*mostHeaders)), 431},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if status, body, _ := talk(t, address, c.text, 1); status[0] != c.want {
+				t.Errorf("status %d, %s, want %d", status[0], body, c.want)
+			}
+		})
+	}
+	if status, _, _ := talk(t, address, change("480", "0")+change("480", "-1"), 2); len(status) != 2 {
+		t.Errorf("status %v", status)
+	}
+	if len(f.took) != 0 {
+		t.Errorf("%d lookups taken", len(f.took))
+	}
+}
+
+// TestAnswers looks at each verdict on the wire, and at values that go out as they came.
+func TestAnswers(t *testing.T) {
+	hits := []pick.Hit{{Shard: 3, Value: []byte("5be2")}, {Shard: 9, Value: []byte("a\"\n")}}
+	for _, c := range []struct {
+		verdict     pick.Verdict
+		status      int
+		body, after string
+	}{
+		{pick.Verdict{Kind: pick.Satisfied, Whole: true, Hits: hits[:1]}, 200, `{"complete":true,"hits":[{"shard":3,"doc":"5be2"}]}`, ""},
+		{pick.Verdict{Kind: pick.Satisfied, Hits: hits}, 200,
+			`{"complete":false,"hits":[{"shard":3,"doc":"5be2"},{"shard":9,"doc":"a\"\n"}]}`, ""},
+		{pick.Verdict{Kind: pick.Nacked, ComeBack: 412.5}, 503, "nacked\n", "0.412"},
+		{pick.Verdict{Kind: pick.Nacked}, 503, "nacked\n", ""},
+		{pick.Verdict{Kind: pick.Aborted}, 504, "aborted\n", ""},
+		{pick.Verdict{Kind: pick.Broken}, 500, "failed\n", ""},
+	} {
+		f, _, address := start(t, 10, func(context.Context, *pick.Lookup) pick.Verdict { return c.verdict })
+		chunked := "POST /find/x HTTP/1.1\r\n" + headers + "X-Route-Key: rk\r\nX-Retried: 1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			fmt.Sprintf("5\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", parts[:5], len(parts)-5, parts[5:])
+		status, body, head := talk(t, address, chunked+post("/find", headers, parts), 2)
+		if status[0] != c.status || status[1] != c.status || body != c.body || head.Get("Retry-After") != c.after {
+			t.Errorf("%+v: %v %s %v", c.verdict, status, body, head)
+		}
+		lk := <-f.took
+		if lk.ID != "a1" || lk.Index != "find" || lk.Customer != "acme" || lk.Key != "rk" || !lk.Retry || lk.GiveUpAt != 1480 ||
+			string(lk.Text) != "c41e" || len(lk.Parts) != 2 || lk.Parts[0] != (pick.Part{Shard: 3, Weight: 0.5, Cost: 9, Key: "k"}) {
+			t.Errorf("took %+v", lk)
+		}
+	}
+}
+
+func TestTextOfEscapes(t *testing.T) {
+	got, err := textOf([]byte(`"a\u0041\""`))
+	if err != nil || string(got) != `aA"` {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
+// TestPanic wants a request that breaks its handler answered as failed, and the next one served.
+func TestPanic(t *testing.T) {
+	first := true
+	_, _, address := start(t, 10, func(context.Context, *pick.Lookup) pick.Verdict {
+		if first {
+			first = false
+			panic("broken")
+		}
+		return pick.Verdict{Kind: pick.Aborted}
+	})
+	status, _, _ := talk(t, address, post("/find", headers, parts)+post("/find", headers, parts), 2)
+	if status[0] != 500 || status[1] != 504 {
+		t.Errorf("status %v", status)
+	}
+}
+
+// TestGone wants a client that closes its connection to end its lookup, and two of one name kept apart.
+func TestGone(t *testing.T) {
+	left := make(chan struct{}, 1)
+	f, _, address := start(t, 10, func(ctx context.Context, lk *pick.Lookup) pick.Verdict {
+		<-ctx.Done()
+		left <- struct{}{}
+		return pick.Verdict{Kind: pick.Left}
+	})
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, post("/find", headers, parts))
+	<-f.took
+	if status, body, _ := talk(t, address, post("/find", headers, parts), 1); status[0] != 400 {
+		t.Errorf("two of one name: %v %s", status, body)
+	}
+	c.Close()
+	<-left
+}
+
+// TestSlowBody wants a body that does not come in the client's own time turned away.
+func TestSlowBody(t *testing.T) {
+	_, _, address := start(t, 10, nil)
+	head := strings.Replace(headers, "480", "50", 1)
+	if status, _, _ := talk(t, address, "POST /find HTTP/1.1\r\n"+head+"Content-Length: 500\r\n\r\n{", 1); status[0] != 408 {
+		t.Errorf("status %v", status)
+	}
+}
+
+// TestCrowd wants the connection idle longest closed at the bound, not a new one left waiting.
+func TestCrowd(t *testing.T) {
+	_, _, address := start(t, 2, func(context.Context, *pick.Lookup) pick.Verdict { return pick.Verdict{Kind: pick.Aborted} })
+	var conns []net.Conn
+	for i := range 4 {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, post("/find", headers, parts))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != 504 {
+			t.Fatalf("connection %d: %v, %v", i, resp, err)
+		}
+		conns = append(conns, c)
+	}
+	for _, c := range conns[:2] {
+		c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if _, err := io.Copy(io.Discard, c); err != nil {
+			t.Errorf("a connection idle for long was not closed: %v", err)
+		}
+	}
+}
+
+// TestDrain follows a planned restart: what is held is answered, what comes late on new connections is taken,
+// and clients are asked to go.
+func TestDrain(t *testing.T) {
+	hold := make(chan struct{})
+	f, s, address := start(t, 10, func(context.Context, *pick.Lookup) pick.Verdict {
+		<-hold
+		return pick.Verdict{Kind: pick.Aborted}
+	})
+	early := make(chan http.Header, 1)
+	go func() {
+		_, _, head := talk(t, address, post("/find", headers, parts), 1)
+		early <- head
+	}()
+	<-f.took
+	done := make(chan error, 1)
+	go func() { done <- s.Drain(t.Context()) }()
+	for !s.leaving.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	if status, _, _ := talk(t, address, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n", 1); status[0] != 503 {
+		t.Errorf("ready says %v", status)
+	}
+	late := make(chan http.Header, 1)
+	go func() {
+		_, _, head := talk(t, address, post("/find", strings.Replace(headers, "a1", "a2", 1), parts), 1)
+		late <- head
+	}()
+	<-f.took
+	close(hold)
+	for _, head := range []http.Header{<-early, <-late} {
+		if head.Get("Connection") != "close" {
+			t.Errorf("headers %v", head)
+		}
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if _, err := net.Dial("tcp", address); err == nil {
+		t.Error("still listening")
+	}
+}
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -119,6 +119,22 @@
 // Pick hands a lookup in and blocks until its final answer is decided, or until ctx ends because its client
 // has gone. When it returns, no part call of the lookup is being written or will be.
 func (p *Picker) Pick(ctx context.Context, lk *Lookup) Verdict {
+	if !p.admit(lk) { // the platform's own limit, which the simulator keeps in front of the module
+		return Verdict{Kind: Nacked}
+	}
+	var v Verdict
+	select {
+	case v = <-lk.done:
+	case <-ctx.Done():
+		v.Kind = Left
+		p.tell(func(in *inbox) { in.Left = append(in.Left, lk.ref) })
+	}
+	lk.seal()
+	return v
+}
+
+// admit leaves a lookup for the next round, unless too much is held already.
+func (p *Picker) admit(lk *Lookup) bool {
 	size := 1 + len(lk.Parts)
 	p.mu.Lock()
 	full := p.most > 0 && p.held+size > p.most
@@ -128,8 +144,8 @@
 		p.ref += uint64(size)
 	}
 	p.mu.Unlock()
-	if full { // the platform's own limit, which the simulator keeps in front of the module
-		return Verdict{Kind: Nacked}
+	if full {
+		return false
 	}
 	lk.values, lk.calls = make([][]byte, len(lk.Parts)), make([][]*Call, len(lk.Parts))
 	lk.done = make(chan Verdict, 1)
@@ -142,15 +158,7 @@
 				Weight: pt.Weight, Cost: pt.Cost, Key: pt.Key})
 		}
 	})
-	var v Verdict
-	select {
-	case v = <-lk.done:
-	case <-ctx.Done():
-		v.Kind = Left
-		p.tell(func(in *inbox) { in.Left = append(in.Left, lk.ref) })
-	}
-	lk.seal()
-	return v
+	return true
 }
 
 // Tick blocks until a round is due, runs it and gives its orders. Rounds are a tick apart at least, as the
