--- a/internal/shardcall/pool_test.go
+++ b/internal/shardcall/pool_test.go
@@ -308,14 +308,14 @@
 // written into its close.
 func TestIdle(t *testing.T) {
 	shard := standin.NewShard(t)
-	d := newDesk(t, shard.Address(), gather.Terms{"idle close": 100.0, "connect time-out": 50.0})
+	d := newDesk(t, shard.Address(), gather.Terms{"idle close": 1000.0, "connect time-out": 800.0})
 	done := d.ask(t.Context(), "a", 1, 2000)
 	conn := shard.Take()
 	conn.Read()
 	conn.Answer("a.0", "ok", "v")
 	<-done
 	start := time.Now()
-	if f := conn.Read(); f.Letter != 0 || time.Since(start) > time.Second {
+	if f := conn.Read(); f.Letter != 0 || time.Since(start) > 900*time.Millisecond {
 		t.Errorf("frame %+v after %v", f, time.Since(start))
 	}
 	if n := d.Sockets(); n != 0 {
