A frame stuck at a server that has stopped reading no longer holds up its lookup's answer

Found by reading: Pick waits for frames in the middle of their write, and such a frame had its call's whole time. When a lookup ends, what of it is not written whole gets no more time. The test hung before.

--- a/internal/pick/lookup.go
+++ b/internal/pick/lookup.go
@@ -109,7 +109,8 @@
 // Orders are what the network has to carry out after a round, in this order.
 type Orders struct {
 	Calls []*Call // those to one server are one turn and share frames
-	Off   []*Call // given up
+	Stop  []*Call // their lookup is over: what is not written whole by now must not be
+	Off   []*Call // given up; the shard server is told
 }
 
 // writer puts the decisions of one round into the facade's form; it is the module's gather.Writer.
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -283,6 +283,13 @@
 	}
 	delete(p.lookups, lk.ref)
 	p.ended = append(p.ended, lk)
+	for _, calls := range lk.calls {
+		for _, c := range calls {
+			if !c.told.Load() {
+				p.orders.Stop = append(p.orders.Stop, c)
+			}
+		}
+	}
 	lk.done <- v
 }
 
--- a/internal/shardcall/conn.go
+++ b/internal/shardcall/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -208,12 +209,11 @@
 		_, err := nc.Write(buf)
 		return buf, err
 	}
-	live, longest := c.begin(f.calls)
+	live := c.begin(f.calls)
 	if len(live) == 0 {
 		return buf, nil
 	}
 	buf = appendCall(buf, live)
-	nc.SetWriteDeadline(time.Now().Add(longest))
 	n, err := nc.Write(buf)
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
@@ -228,13 +228,17 @@
 			a.written = true
 		}
 	}
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		return buf, nil // stopped before its first byte, which leaves the framing whole
+	}
 	return buf, err
 }
 
-// begin picks the calls that may still be written, and the longest of their times.
-func (c *conn) begin(calls []*attempt) (live []*attempt, longest time.Duration) {
+// begin picks the calls that may still be written, and gives the frame the longest of their times.
+func (c *conn) begin(calls []*attempt) (live []*attempt) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
+	longest := time.Duration(0)
 	for _, a := range calls {
 		if c.pool.attempts[a.call] != a {
 			continue
@@ -251,7 +255,10 @@
 		live = append(live, a)
 		longest = max(longest, time.Duration(a.call.Timeout*1e6))
 	}
-	return live, longest
+	if len(live) > 0 {
+		c.nc.SetWriteDeadline(time.Now().Add(longest)) // under the lock, against undoing a stop
+	}
+	return live
 }
 
 // read takes answers until the connection ends or its framing is lost.
@@ -281,7 +288,8 @@
 		}
 		return c.answered(ans)
 	case 'E':
-		return fmt.Errorf("shard server could not use a frame: %.200q", body)
+		c.pool.log.WithField("server", c.srv.HostPort).Warnf("shard server could not use a frame: %.200q", body)
+		return errUnusable
 	case 'P', 'L':
 		return nil // answers to probes, which are not sent
 	}
--- a/internal/shardcall/errors.go
+++ b/internal/shardcall/errors.go
@@ -66,5 +66,6 @@
 	errIdle      = errors.New("idle")
 	errRetired   = errors.New("shard server has gone or moved")
 	errSilent    = errors.New("connection has been silent")
+	errUnusable  = errors.New("shard server could not use a frame")
 	errUnknown   = errors.New("shard server is not on the list")
 )
--- a/internal/shardcall/pool.go
+++ b/internal/shardcall/pool.go
@@ -73,12 +73,18 @@
 func New(terms gather.Terms, reporter Reporter, log *logrus.Logger) *Pool {
 	span := func(name string) time.Duration { return time.Duration(terms.Num(name) * 1e6) }
 	p := &Pool{reporter: reporter, log: log, connectTime: span("connect time-out"),
-		perFrame: max(int(terms.Num("parts a call")), 1), perConn: max(int(terms.Num("streams")), 1),
+		perFrame: max(int(terms.Num("parts a call")), 1), perConn: int(terms.Num("streams")),
 		servers: map[uint32]*server{}, attempts: map[*pick.Call]*attempt{}}
 	p.dial = func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, p.connectTime) }
 	// A connection that has stood idle for the time in the terms swallows what is written to it. It is closed
 	// before that by the time that setting one up may take, against a call that crosses the other side's close.
-	p.idleTime = max(span("idle close")-p.connectTime, span("idle close")/2)
+	p.idleTime = math.MaxInt64
+	if terms.Num("idle close") > 0 {
+		p.idleTime = max(span("idle close")-p.connectTime, span("idle close")/2)
+	}
+	if p.perConn < 1 { // no limit is told
+		p.perConn = math.MaxInt32
+	}
 	// On a machine that vanished, open connections stay silent for good, and only a new one shows it: where
 	// calls were out for the shortest soft deadline and nothing at all was heard, the next call gets a new one.
 	p.silence = math.MaxInt64
@@ -140,6 +146,9 @@
 			turn = turn[n:]
 		}
 	}
+	for _, call := range o.Stop {
+		p.stop(call)
+	}
 	for _, call := range o.Off {
 		p.abandonLocked(call, GivenUp, errGivenUp)
 	}
@@ -163,6 +172,19 @@
 	return c
 }
 
+// stop keeps a call from being written. One that is being written to a server that has stopped reading would
+// hold up its lookup's answer: it gets no more time, which breaks off nothing that the kernel still takes.
+func (p *Pool) stop(call *pick.Call) {
+	a := p.attempts[call]
+	switch {
+	case a == nil || a.written:
+	case a.on == nil || a.on.out[a.id] != a:
+		p.end(a, &Error{NotSent, errForbidden}, nil)
+	default:
+		a.on.nc.SetWriteDeadline(time.Now())
+	}
+}
+
 func (p *Pool) abandon(call *pick.Call, stage Stage, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/shardcall/pool_test.go
+++ b/internal/shardcall/pool_test.go
@@ -158,6 +158,13 @@
 	}
 }
 
+// pipe gives the server a connection over a pipe, which takes just as many bytes as are read.
+func (d *desk) pipe() net.Conn {
+	ours, theirs := net.Pipe()
+	d.dial = func(string) (net.Conn, error) { return ours, nil }
+	return theirs
+}
+
 // TestHalfWritten guards against calling a frame that went out in part one that may have run, and against
 // calling one that went out whole one that never ran.
 func TestHalfWritten(t *testing.T) {
@@ -168,14 +175,7 @@
 	}{{"broken before the last byte", false, gather.Unreached}, {"broken after it", true, gather.Cut}} {
 		t.Run(c.name, func(t *testing.T) {
 			d := newDesk(t, "127.0.0.1:1", gather.Terms{"i/effect": "idempotent"})
-			ours, theirs := net.Pipe()
-			// The server has a connection already, over a pipe, which takes just as many bytes as are read.
-			d.mu.Lock()
-			c1 := &conn{pool: d.Pool, srv: d.servers[7], nc: ours, out: map[string]*attempt{}, work: make(chan struct{}, 1)}
-			d.servers[7].conns = []*conn{c1}
-			d.mu.Unlock()
-			go c1.read(ours)
-			go c1.writeAll(ours)
+			theirs := d.pipe()
 			d.ask(t.Context(), "a", 1, 2000)
 			head := make([]byte, 5)
 			io.ReadFull(theirs, head)
@@ -188,6 +188,25 @@
 	}
 }
 
+// TestStuck guards against an answer that waits for a server that has stopped reading: the frame that is being
+// written when its lookup ends is broken off.
+func TestStuck(t *testing.T) {
+	for _, allowed := range []bool{true, false} {
+		d := newDesk(t, "127.0.0.1:1", gather.Terms{"call off": allowed})
+		theirs := d.pipe()
+		ctx, leave := context.WithCancel(t.Context())
+		done := d.ask(ctx, "a", 1, 60000)
+		io.ReadFull(theirs, make([]byte, 3))
+		leave()
+		select {
+		case <-done:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the lookup's end waits for the server")
+		}
+		d.want(t, "a.0", map[bool]gather.Outcome{true: gather.CalledOff, false: gather.Unreached}[allowed])
+	}
+}
+
 // TestFrames looks at what travels together: parts of one turn, up to the number in the terms, on as few
 // connections as have room.
 func TestFrames(t *testing.T) {
