--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -95,6 +95,9 @@
 	for ctx.Err() == nil {
 		r, err := f.ask(ctx)
 		if err == nil {
+			if pause != pauseFirst {
+				f.log.Info("discovery answers again")
+			}
 			pause = pauseFirst
 			f.whole = f.whole || r.Whole
 			f.Take(r)
@@ -103,7 +106,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.log.WithError(err).Warn("discovery does not answer; the last list stays in force")
+		level := logrus.WarnLevel
+		if pause != pauseFirst { // said already, against a line a second while it is down
+			level = logrus.DebugLevel
+		}
+		f.log.WithError(err).Log(level, "discovery does not answer; the last list stays in force")
 		f.tell(gather.List{Failed: true}, f.all())
 		f.whole = false // a watch that broke may have missed changes
 		select {
