Sockets shared evenly and kept, no haste towards discovery, no part call after a request that panics

Found by reading, each with a test seen to fail: an agent that answers at once was asked ten thousand times a second; a request that panicked while its lookup was held left it to the module; connections to shard servers had no bound of their own.

--- a/cmd/yokeroute/serve.go
+++ b/cmd/yokeroute/serve.go
@@ -23,6 +23,9 @@
 	"yokeroute/internal/shardcall"
 )
 
+// ownSockets are descriptors besides connections of lookups: standard streams, listener, poller, discovery.
+const ownSockets = 16
+
 // run serves until SIGTERM and until all that was taken is answered, or until something fails.
 func run(ctx context.Context, c *config.Config, level string) error {
 	log := logrus.New()
@@ -40,7 +43,9 @@
 	defer stop()
 
 	picker := pick.New(c.Seed, c.Terms, log)
-	pool := shardcall.New(c.Terms, picker, log)
+	// Clients and shard servers share evenly what the process leaves of its sockets.
+	each := (c.Limits.Sockets - ownSockets) / 2
+	pool := shardcall.New(c.Terms, each, picker, log)
 	var listed atomic.Bool
 	follower := discovery.New(c.Discovery, func(list gather.List, all []shardcall.Address) {
 		pool.Follow(all) // first, so that the module names no server whose address is not known
@@ -52,7 +57,7 @@
 	if c.Known != nil {
 		follower.Take(c.Known)
 	}
-	server := front.New(picker, c.Terms, c.Limits.Sockets*3/4, listed.Load, log)
+	server := front.New(picker, c.Terms, each, listed.Load, log)
 
 	// What serves goes on until the last lookup is answered, past the signal.
 	serving, end := context.WithCancel(ctx)
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -93,14 +94,22 @@
 func (f *Follower) Run(ctx context.Context) {
 	pause := pauseFirst
 	for ctx.Err() == nil {
+		asked := time.Now()
 		r, err := f.ask(ctx)
+		if err == nil && !f.whole && !r.Whole {
+			err = errors.New("a change, where the whole list was asked for")
+		}
 		if err == nil {
 			if pause != pauseFirst {
 				f.log.Info("discovery answers again")
 			}
 			pause = pauseFirst
 			f.whole = f.whole || r.Whole
+			news := len(r.members) > 0 && r.Revision != f.revision
 			f.Take(r)
+			if !news && time.Since(asked) < watchWait/2 { // against an agent that does not wait
+				f.rest(ctx, pauseFirst)
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -113,15 +122,20 @@
 		f.log.WithError(err).Log(level, "discovery does not answer; the last list stays in force")
 		f.tell(gather.List{Failed: true}, f.all())
 		f.whole = false // a watch that broke may have missed changes
-		select {
-		case <-ctx.Done():
-		case <-f.asked:
-		case <-time.After(pause):
-		}
+		f.rest(ctx, pause)
 		pause = min(2*pause, pauseMost)
 	}
 }
 
+// rest waits before the next call, or until the module asks for the list.
+func (f *Follower) rest(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.asked:
+	case <-time.After(pause):
+	}
+}
+
 func (f *Follower) all() []shardcall.Address {
 	all := make([]shardcall.Address, 0, len(f.order))
 	for _, id := range f.order {
--- a/internal/discovery/follow_test.go
+++ b/internal/discovery/follow_test.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -111,6 +112,26 @@
 	}
 }
 
+// TestHasty guards against asking without a pause an agent that answers at once whatever it is asked.
+func TestHasty(t *testing.T) {
+	for _, body := range []string{`{"revision":1,"complete":true}`, `{"revision":1,"complete":false}`} {
+		ctx, stop := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		calls := 0
+		agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls++
+			io.WriteString(w, body)
+		}))
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		New(strings.TrimPrefix(agent.URL, "http://"), func(gather.List, []shardcall.Address) {}, nil, log).Run(ctx)
+		agent.Close()
+		stop()
+		if calls < 2 || calls > 15 {
+			t.Errorf("%d calls in half a second", calls)
+		}
+	}
+}
+
 // TestSilent wants an agent that says nothing to count as one that does not answer, and asked again.
 func TestSilent(t *testing.T) {
 	ctx, stop := context.WithCancel(t.Context())
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -60,7 +60,7 @@
 			log.WithField("index", name).Warn("fingerprinted: its lookups are turned away, their mark cannot be passed on")
 		}
 	}
-	errorLog := log.WriterLevel(logrus.DebugLevel)
+	errorLog := log.WriterLevel(logrus.WarnLevel) // what net/http has to say is of its listener
 	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: headTime, MaxHeaderBytes: mostHeaders,
 		ConnState: s.conns.state,
 		ErrorLog:  stdlog.New(errorLog, "", 0)}
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -122,6 +122,7 @@
 	if !p.admit(lk) { // the platform's own limit, which the simulator keeps in front of the module
 		return Verdict{Kind: Nacked}
 	}
+	defer lk.seal() // also where the request panics here: it is answered as failed
 	var v Verdict
 	select {
 	case v = <-lk.done:
@@ -129,7 +130,6 @@
 		v.Kind = Left
 		p.tell(func(in *inbox) { in.Left = append(in.Left, lk.ref) })
 	}
-	lk.seal()
 	return v
 }
 
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -235,6 +235,22 @@
 	}
 }
 
+// TestPickPanics guards against part calls of a lookup whose request has already been answered as failed.
+func TestPickPanics(t *testing.T) {
+	p := newPicker(t, nil)
+	tick(t, p)
+	lk := lookup("all", 1, p.Now()+2000)
+	func() {
+		defer func() { recover() }()
+		p.Pick(nil, lk) // a context that breaks its user
+	}()
+	for _, c := range tick(t, p).Calls {
+		if c.Begin() {
+			t.Error("a call began")
+		}
+	}
+}
+
 // TestMostHeld keeps the platform's limit on what is held at once, and frees what has ended.
 func TestMostHeld(t *testing.T) {
 	p := newPicker(t, gather.Terms{"most held": 5.0})
--- a/internal/shardcall/conn.go
+++ b/internal/shardcall/conn.go
@@ -114,6 +114,7 @@
 		return
 	}
 	c.closed = true
+	c.pool.open--
 	c.leave()
 	if c.idle != nil {
 		c.idle.Stop()
--- a/internal/shardcall/pool.go
+++ b/internal/shardcall/pool.go
@@ -40,8 +40,10 @@
 	dial        func(address string) (net.Conn, error)
 	perFrame    int
 	perConn     int
+	most        int // connections open at once
 
 	mu       sync.Mutex
+	open     int
 	servers  map[uint32]*server
 	attempts map[*pick.Call]*attempt
 }
@@ -69,10 +71,10 @@
 	written bool
 }
 
-// New makes a pool that keeps the limits in the terms.
-func New(terms gather.Terms, reporter Reporter, log *logrus.Logger) *Pool {
+// New makes a pool that keeps the limits in the terms, and to so many connections where it can.
+func New(terms gather.Terms, most int, reporter Reporter, log *logrus.Logger) *Pool {
 	span := func(name string) time.Duration { return time.Duration(terms.Num(name) * 1e6) }
-	p := &Pool{reporter: reporter, log: log, connectTime: span("connect time-out"),
+	p := &Pool{reporter: reporter, most: most, log: log, connectTime: span("connect time-out"),
 		perFrame: max(int(terms.Num("parts a call")), 1), perConn: int(terms.Num("streams")),
 		servers: map[uint32]*server{}, attempts: map[*pick.Call]*attempt{}}
 	p.dial = func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, p.connectTime) }
@@ -166,12 +168,30 @@
 			return c
 		}
 	}
+	p.makeRoom()
 	c := &conn{pool: p, srv: s, out: map[string]*attempt{}, work: make(chan struct{}, 1)}
 	s.conns = append(s.conns, c)
+	p.open++
 	go c.run(s.HostPort)
 	return c
 }
 
+// makeRoom closes a connection without calls where as many are open as the process may have. Where each has
+// some, one more is opened all the same: the kernel then says whether there is a socket for it.
+func (p *Pool) makeRoom() {
+	if p.open < p.most {
+		return
+	}
+	for _, s := range p.servers {
+		for _, c := range s.conns {
+			if c.booked == 0 {
+				c.fail(errIdle)
+				return
+			}
+		}
+	}
+}
+
 // stop keeps a call from being written. One that is being written to a server that has stopped reading would
 // hold up its lookup's answer: it gets no more time, which breaks off nothing that the kernel still takes.
 func (p *Pool) stop(call *pick.Call) {
--- a/internal/shardcall/pool_test.go
+++ b/internal/shardcall/pool_test.go
@@ -49,7 +49,7 @@
 		terms[name] = value
 	}
 	d := &desk{picker: pick.New(1, terms, quiet()), reports: make(chan report, 100)}
-	d.Pool = New(terms, d, quiet())
+	d.Pool = New(terms, 100, d, quiet())
 	d.list(address, gather.Running)
 	ctx, stop := context.WithCancel(t.Context())
 	t.Cleanup(stop)
@@ -342,6 +342,28 @@
 	}
 }
 
+// TestMostSockets wants an idle connection closed for a new one where as many are open as the process may have.
+func TestMostSockets(t *testing.T) {
+	one, two := standin.NewShard(t), standin.NewShard(t)
+	d := newDesk(t, one.Address(), nil)
+	d.most = 1
+	done := d.ask(t.Context(), "a", 1, 2000)
+	conn := one.Take()
+	conn.Read()
+	conn.Answer("a.0", "ok", "v")
+	<-done
+	d.Follow([]Address{{ID: 7, HostPort: one.Address()}, {ID: 8, HostPort: two.Address()}})
+	d.picker.Follow(gather.List{Full: true, Servers: []gather.Server{{ID: 7, State: gather.Draining}, {ID: 8}}})
+	d.ask(t.Context(), "b", 1, 2000)
+	two.Take().Read()
+	if n := d.Sockets(); n != 1 {
+		t.Fatalf("%d connections", n)
+	}
+	if f := conn.Read(); f.Letter != 0 {
+		t.Errorf("frame %+v", f)
+	}
+}
+
 // TestMoved wants a server that is found elsewhere reached there, and one that has gone left alone.
 func TestMoved(t *testing.T) {
 	before, after := standin.NewShard(t), standin.NewShard(t)
