--- a/cmd/yokeroute/serve.go
+++ b/cmd/yokeroute/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math"
 	"net"
@@ -11,7 +10,6 @@
 	"runtime/debug"
 	"sync/atomic"
 	"syscall"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -82,13 +80,7 @@
 	case <-terminated.Done():
 	}
 	log.Info("leaving: answering what is held")
-	longest := 0.0
-	for _, name := range c.Terms.Names("indexes") {
-		longest = max(longest, c.Terms.Num(name+"/hard deadline"))
-	}
-	leaving, cancel := context.WithTimeout(ctx, time.Duration(longest*1e6)+time.Second/2)
-	defer cancel()
-	if err := server.Drain(leaving); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	if err := server.Drain(ctx); err != nil {
 		return err
 	}
 	log.Info("left")
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -27,7 +27,7 @@
 
 const (
 	// After the platform says that the end comes, new connections go on coming for less than this.
-	lateConnections = 500 * time.Millisecond
+	lateConnections = 600 * time.Millisecond
 	// A client that takes longer than this for the head of a request is cut off.
 	headTime = 5 * time.Second
 )
@@ -41,6 +41,7 @@
 	indexes   map[string]bool
 	customers map[string]bool
 	shards    int
+	longest   time.Duration   // that a lookup may take
 	marked    map[string]bool // indexes whose lookups carry a mark that the protocol cannot pass on
 	conns     *conns
 	leaving   atomic.Bool
@@ -55,6 +56,7 @@
 		indexes: set(terms.Names("indexes")), customers: set(terms.Names("customers")), marked: map[string]bool{},
 		inHand: map[string]bool{}}
 	for name := range s.indexes {
+		s.longest = max(s.longest, time.Duration(terms.Num(name+"/hard deadline")*1e6))
 		if terms.Text(name+"/effect") == "fingerprinted" {
 			s.marked[name] = true
 			log.WithField("index", name).Warn("fingerprinted: its lookups are turned away, their mark cannot be passed on")
@@ -84,15 +86,22 @@
 	return err
 }
 
-// Drain asks clients to go, takes those that come late, and returns once all that was taken is answered.
+// Drain asks clients to go, takes those that come late, and returns once all that was taken is answered: after
+// the time of the last that may come at the latest.
 func (s *Server) Drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, lateConnections+s.longest)
+	defer cancel()
 	s.leaving.Store(true)
 	s.http.SetKeepAlivesEnabled(false)
 	select {
 	case <-ctx.Done():
 	case <-time.After(lateConnections):
 	}
-	return s.http.Shutdown(ctx)
+	err := s.http.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) { // some client holds a connection on which it asks nothing
+		return nil
+	}
+	return err
 }
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
--- a/internal/shardcall/conn.go
+++ b/internal/shardcall/conn.go
@@ -24,6 +24,7 @@
 type conn struct {
 	pool    *Pool
 	srv     *server
+	address string
 	nc      net.Conn
 	queue   []frame
 	out     map[string]*attempt // begun or written, not ended
@@ -158,9 +159,9 @@
 }
 
 // run sets the connection up and then writes what is queued until it ends.
-func (c *conn) run(address string) {
+func (c *conn) run() {
 	defer c.guard()
-	nc, err := c.pool.dial(address)
+	nc, err := c.pool.dial(c.address)
 	if err != nil {
 		c.broken(err)
 		return
@@ -244,8 +245,9 @@
 		if c.pool.attempts[a.call] != a {
 			continue
 		}
-		// A server that was told to drain while the call waited gets nothing new, grace or not.
-		if c.closed || c.srv.State != gather.Running || c.out[a.id] != nil || !a.call.Begin() {
+		// A server that was told to drain while the call waited gets nothing new, grace or not. Where one was
+		// that has moved, another may be by now.
+		if c.closed || c.srv.State != gather.Running || c.srv.HostPort != c.address || c.out[a.id] != nil || !a.call.Begin() {
 			c.pool.end(a, &Error{NotSent, errForbidden}, nil)
 			continue
 		}
--- a/internal/shardcall/pool.go
+++ b/internal/shardcall/pool.go
@@ -169,10 +169,10 @@
 		}
 	}
 	p.makeRoom()
-	c := &conn{pool: p, srv: s, out: map[string]*attempt{}, work: make(chan struct{}, 1)}
+	c := &conn{pool: p, srv: s, address: s.HostPort, out: map[string]*attempt{}, work: make(chan struct{}, 1)}
 	s.conns = append(s.conns, c)
 	p.open++
-	go c.run(s.HostPort)
+	go c.run()
 	return c
 }
 
