--- a/internal/shardcall/pool.go
+++ b/internal/shardcall/pool.go
@@ -244,14 +244,3 @@
 	}
 	p.reporter.Report(a.call, Outcome(err), value)
 }
-
-// Sockets is how many connections are open or being opened.
-func (p *Pool) Sockets() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 0
-	for _, s := range p.servers {
-		n += len(s.conns)
-	}
-	return n
-}
--- a/internal/shardcall/pool_test.go
+++ b/internal/shardcall/pool_test.go
@@ -71,6 +71,12 @@
 	d.picker.Follow(gather.List{Full: true, Servers: []gather.Server{{ID: 7, State: state}}})
 }
 
+func (d *desk) sockets() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.open
+}
+
 // ask sends a lookup of so many parts on its way and gives back how it will end.
 func (d *desk) ask(ctx context.Context, id string, parts int, wait float64) <-chan pick.Verdict {
 	lk := &pick.Lookup{ID: id, Index: "i", GiveUpAt: d.picker.Now() + wait, Text: []byte("text of " + id)}
@@ -239,7 +245,7 @@
 	if v := <-done; len(seen) != 6 || v.Kind != pick.Satisfied || len(v.Hits) != 6 || string(v.Hits[5].Value) != "a.5" {
 		t.Errorf("asked %v, verdict %+v", seen, v)
 	}
-	if n := d.Sockets(); n != 2 {
+	if n := d.sockets(); n != 2 {
 		t.Errorf("%d connections", n)
 	}
 }
@@ -344,7 +350,7 @@
 	if f := conn.Read(); f.Letter != 0 || time.Since(start) > 900*time.Millisecond {
 		t.Errorf("frame %+v after %v", f, time.Since(start))
 	}
-	if n := d.Sockets(); n != 0 {
+	if n := d.sockets(); n != 0 {
 		t.Errorf("%d connections left", n)
 	}
 }
@@ -363,7 +369,7 @@
 	d.picker.Follow(gather.List{Full: true, Servers: []gather.Server{{ID: 7, State: gather.Draining}, {ID: 8}}})
 	d.ask(t.Context(), "b", 1, 2000)
 	two.Take().Read()
-	if n := d.Sockets(); n != 1 {
+	if n := d.sockets(); n != 1 {
 		t.Fatalf("%d connections", n)
 	}
 	if f := conn.Read(); f.Letter != 0 {
