A request sent once more waits for the first of its name to end; what ends is carried out before what begins

Found by reading: a client whose idle connection is closed under its request sends it again, and was turned away with 400 while the first was still being dropped. Giving up now goes before new calls, against ending a new part by its old name.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -47,14 +47,14 @@
 	leaving   atomic.Bool
 
 	mu     sync.Mutex
-	inHand map[string]bool // names of the lookups held, against two that could not be told apart
+	inHand map[string]chan struct{} // names of the lookups held, against two that could not be told apart
 }
 
 // New makes a server that holds so many client connections at most; ready says whether lookups can be served.
 func New(picker Picker, terms gather.Terms, clients int, ready func() bool, log *logrus.Logger) *Server {
 	s := &Server{picker: picker, log: log, ready: ready, conns: newConns(clients), shards: int(terms.Num("shards")),
 		indexes: set(terms.Names("indexes")), customers: set(terms.Names("customers")), marked: map[string]bool{},
-		inHand: map[string]bool{}}
+		inHand: map[string]chan struct{}{}}
 	for name := range s.indexes {
 		s.longest = max(s.longest, time.Duration(terms.Num(name+"/hard deadline")*1e6))
 		if terms.Text(name+"/effect") == "fingerprinted" {
@@ -152,8 +152,8 @@
 	if err := s.readBody(lk, text); err != nil {
 		return err
 	}
-	if !s.hold(lk.ID) {
-		return bad("X-Request-ID: %q is in hand", lk.ID)
+	if err := s.hold(r.Context(), lk.ID, until); err != nil {
+		return err
 	}
 	defer s.letGo(lk.ID)
 	v := s.picker.Pick(r.Context(), lk)
@@ -162,18 +162,32 @@
 	return nil
 }
 
-func (s *Server) hold(id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.inHand[id] {
-		return false
+// hold takes a name. A client whose connection was closed under its request sends it once more and may be here
+// before the first has ended; it waits for that, within its own time.
+func (s *Server) hold(ctx context.Context, id string, until time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		first := s.inHand[id]
+		if first == nil {
+			s.inHand[id] = make(chan struct{})
+		}
+		s.mu.Unlock()
+		if first == nil {
+			return nil
+		}
+		select {
+		case <-first:
+		case <-ctx.Done():
+			return &fault{http.StatusConflict, "a lookup of this X-Request-ID is in hand"}
+		}
 	}
-	s.inHand[id] = true
-	return true
 }
 
 func (s *Server) letGo(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	close(s.inHand[id])
 	delete(s.inHand, id)
 }
--- a/internal/pick/lookup.go
+++ b/internal/pick/lookup.go
@@ -108,9 +108,9 @@
 
 // Orders are what the network has to carry out after a round, in this order.
 type Orders struct {
-	Calls []*Call // those to one server are one turn and share frames
 	Stop  []*Call // their lookup is over: what is not written whole by now must not be
 	Off   []*Call // given up; the shard server is told
+	Calls []*Call // new ones; those to one server are one turn and share frames
 }
 
 // writer puts the decisions of one round into the facade's form; it is the module's gather.Writer.
--- a/internal/shardcall/pool.go
+++ b/internal/shardcall/pool.go
@@ -126,6 +126,13 @@
 func (p *Pool) Carry(o pick.Orders) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// What ends goes first, against giving up a part of the same name that is only now asked for.
+	for _, call := range o.Stop {
+		p.stop(call)
+	}
+	for _, call := range o.Off {
+		p.abandonLocked(call, GivenUp, errGivenUp)
+	}
 	var order []*server
 	turns := map[*server][]*attempt{}
 	for _, call := range o.Calls {
@@ -148,12 +155,6 @@
 			turn = turn[n:]
 		}
 	}
-	for _, call := range o.Stop {
-		p.stop(call)
-	}
-	for _, call := range o.Off {
-		p.abandonLocked(call, GivenUp, errGivenUp)
-	}
 }
 
 // connFor gives a connection with room for so many parts, opening one only where none has.
