SIGHUP rereads the configuration and moves the watch to the new agent

Ruled out a fault of their own: nothing in the log, and 129 is Go's default for an unhandled SIGHUP. At fault: cmd/yokeroute/serve.go, which caught only SIGTERM and SIGINT; and internal/discovery/follow.go, whose address was fixed for good.

Now the signal is caught before the configuration is first read, the file is checked whole, a faulty one changes nothing and is logged with its key. The follower breaks off the old watch and asks the new agent for its whole list first.

--- a/cmd/yokeroute/main.go
+++ b/cmd/yokeroute/main.go
@@ -23,13 +23,10 @@
 	root := &cobra.Command{Use: "yokeroute", Short: "a gatherer of answers from many shards",
 		SilenceUsage: true, SilenceErrors: true}
 	var file, level string
-	serve := &cobra.Command{Use: "serve", Short: "serve lookups until SIGTERM", Args: cobra.NoArgs,
+	serve := &cobra.Command{Use: "serve", Short: "serve lookups until SIGTERM; SIGHUP rereads the configuration", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			c, err := config.Load(file, os.Getenv)
-			if err != nil {
-				return err
-			}
-			return run(cmd.Context(), c, level)
+			load := func() (*config.Config, error) { return config.Load(file, os.Getenv) }
+			return run(cmd.Context(), load, level, cmd.ErrOrStderr())
 		}}
 	serve.Flags().StringVar(&level, "log-level", "info", "least level that is logged: debug, info, warning, error")
 	check := &cobra.Command{Use: "check-config", Short: "read the configuration and say what is wrong with it",
--- a/cmd/yokeroute/serve.go
+++ b/cmd/yokeroute/serve.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math"
 	"net"
+	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -24,9 +27,18 @@
 // ownSockets are descriptors besides connections of lookups: standard streams, listener, poller, discovery.
 const ownSockets = 16
 
-// run serves until SIGTERM and until all that was taken is answered, or until something fails.
-func run(ctx context.Context, c *config.Config, level string) error {
+// run serves until SIGTERM and until all that was taken is answered, or until something fails. SIGHUP has the
+// configuration read again.
+func run(ctx context.Context, load func() (*config.Config, error), level string, out io.Writer) error {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP) // before all else, against ending on one that comes early
+	defer signal.Stop(hangup)
+	c, err := load()
+	if err != nil {
+		return err
+	}
 	log := logrus.New()
+	log.SetOutput(out)
 	lowest, err := logrus.ParseLevel(level)
 	if err != nil {
 		return fmt.Errorf("--log-level: %w", err)
@@ -73,6 +85,16 @@
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	log.WithFields(logrus.Fields{"name": c.Name, "listen": c.Listen}).Info("serving")
+	go func() {
+		for {
+			select {
+			case <-serving.Done():
+				return
+			case <-hangup: // on the way out as well: the list is followed to the end
+				c = reload(c, load, follower, log)
+			}
+		}
+	}()
 
 	select {
 	case err := <-failed:
@@ -87,6 +109,27 @@
 	return nil
 }
 
+// reload reads the configuration again and takes over what can change under load. A faulty one changes nothing.
+func reload(old *config.Config, load func() (*config.Config, error), follower *discovery.Follower, log *logrus.Logger) *config.Config {
+	c, err := load()
+	if err != nil {
+		log.WithError(err).Error("new configuration refused; the old one stays in force")
+		return old
+	}
+	follower.Move(c.Discovery)
+	if c.Limits != old.Limits {
+		limit(c.Limits)
+	}
+	for key, changed := range map[string]bool{"name": c.Name != old.Name, "listen": c.Listen != old.Listen,
+		"limits.sockets": c.Limits.Sockets != old.Limits.Sockets, "settings": !reflect.DeepEqual(c.Terms, old.Terms)} {
+		if changed { // connections and lookups in hand go by it
+			log.WithField("key", key).Warn("new configuration: this key counts from the next start")
+		}
+	}
+	log.WithField("discovery", c.Discovery).Info("new configuration in force")
+	return c
+}
+
 // limit tells the runtime what the platform allows, against being killed for memory or throttled mid-collection.
 func limit(l config.Limits) {
 	runtime.GOMAXPROCS(max(int(math.Ceil(l.Cores)), 1))
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,12 +30,16 @@
 
 // Follower keeps the list and hands on what is new in it.
 type Follower struct {
-	base  string
 	http  *http.Client
 	log   *logrus.Logger
 	tell  func(gather.List, []shardcall.Address)
 	asked <-chan struct{}
 
+	mu    sync.Mutex
+	base  string
+	moved chan struct{} // closed by the next Move
+
+	// The rest belongs to the goroutine that runs.
 	revision int64
 	whole    bool // a whole list has come from discovery itself
 	ids      map[string]uint32
@@ -46,12 +51,34 @@
 // New makes a follower of the discovery at that address. It calls tell with each piece of news and with the
 // addresses of all servers on the list; asked says when the module asks for the list.
 func New(address string, tell func(gather.List, []shardcall.Address), asked <-chan struct{}, log *logrus.Logger) *Follower {
-	return &Follower{base: "http://" + address + "/api/targets", tell: tell, asked: asked, log: log,
+	return &Follower{base: base(address), moved: make(chan struct{}), tell: tell, asked: asked, log: log,
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, ResponseHeaderTimeout: watchWait + patience,
 			DisableCompression: true}},
 		ids: map[string]uint32{}, names: map[uint32]string{}, held: map[uint32]shardcall.Address{}}
 }
 
+func base(address string) string { return "http://" + address + "/api/targets" }
+
+// Move has the list followed at another address from now on. What is being asked of the old agent is broken
+// off: its successor tells the whole list first, and its own numbers of versions go on from there.
+func (f *Follower) Move(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.base == base(address) {
+		return
+	}
+	f.base = base(address)
+	close(f.moved)
+	f.moved = make(chan struct{})
+}
+
+// place is where the list is followed now, and what tells that this has changed.
+func (f *Follower) place() (string, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.base, f.moved
+}
+
 // Take hands on a reply: the one that the platform gave at the start, or one that discovery gave.
 func (f *Follower) Take(r *Reply) {
 	list := gather.List{Full: r.Whole}
@@ -93,9 +120,20 @@
 // Run follows the list until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	pause := pauseFirst
+	at, moved := f.place()
 	for ctx.Err() == nil {
+		select {
+		case <-moved:
+			at, moved = f.place()
+			f.whole, pause = false, pauseFirst
+			f.http.CloseIdleConnections()
+		default:
+		}
 		asked := time.Now()
-		r, err := f.ask(ctx)
+		r, err := f.ask(ctx, at, moved)
+		if errors.Is(err, errMoved) {
+			continue
+		}
 		if err == nil && !f.whole && !r.Whole {
 			err = errors.New("a change, where the whole list was asked for")
 		}
@@ -108,7 +146,7 @@
 			news := len(r.members) > 0 && r.Revision != f.revision
 			f.Take(r)
 			if !news && time.Since(asked) < watchWait/2 { // against an agent that does not wait
-				f.rest(ctx, pauseFirst)
+				f.rest(ctx, moved, pauseFirst)
 			}
 			continue
 		}
@@ -122,15 +160,16 @@
 		f.log.WithError(err).Log(level, "discovery does not answer; the last list stays in force")
 		f.tell(gather.List{Failed: true}, f.all())
 		f.whole = false // a watch that broke may have missed changes
-		f.rest(ctx, pause)
+		f.rest(ctx, moved, pause)
 		pause = min(2*pause, pauseMost)
 	}
 }
 
-// rest waits before the next call, or until the module asks for the list.
-func (f *Follower) rest(ctx context.Context, pause time.Duration) {
+// rest waits before the next call, or until the module asks for the list or that is followed elsewhere.
+func (f *Follower) rest(ctx context.Context, moved <-chan struct{}, pause time.Duration) {
 	select {
 	case <-ctx.Done():
+	case <-moved:
 	case <-f.asked:
 	case <-time.After(pause):
 	}
@@ -144,9 +183,31 @@
 	return all
 }
 
-// ask makes one call: for the whole list at first, then for what is newer than the last reply.
-func (f *Follower) ask(ctx context.Context) (*Reply, error) {
-	url, limit := f.base, patience
+var errMoved = errors.New("followed elsewhere now")
+
+// ask makes one call: for the whole list at first, then for what is newer than the last reply. A move breaks
+// it off.
+func (f *Follower) ask(ctx context.Context, url string, moved <-chan struct{}) (*Reply, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	answered := make(chan struct{})
+	defer close(answered)
+	go func() {
+		select {
+		case <-moved:
+			cancel(errMoved)
+		case <-answered:
+		}
+	}()
+	r, err := f.call(ctx, url)
+	if err != nil && errors.Is(context.Cause(ctx), errMoved) {
+		err = errMoved
+	}
+	return r, err
+}
+
+func (f *Follower) call(ctx context.Context, url string) (*Reply, error) {
+	limit := patience
 	if f.whole {
 		url += "?index=" + strconv.FormatInt(f.revision, 10) + "&wait=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
 		limit += watchWait
--- a/internal/discovery/follow_test.go
+++ b/internal/discovery/follow_test.go
@@ -153,3 +153,44 @@
 	}
 	<-calls
 }
+
+// TestMove wants a watch that waits at the old agent broken off, and the whole list asked of the new one first:
+// numbers of versions mean nothing across agents.
+func TestMove(t *testing.T) {
+	asked := make(chan string, 10)
+	agent := func(name string) *httptest.Server {
+		a := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- name + r.URL.RawQuery
+			if r.URL.RawQuery != "" {
+				<-r.Context().Done()
+				return
+			}
+			io.WriteString(w, whole)
+		}))
+		t.Cleanup(a.Close)
+		return a
+	}
+	at := func(a *httptest.Server) string { return strings.TrimPrefix(a.URL, "http://") }
+	old, next := agent("old?"), agent("new?")
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	failed := false
+	f := New(at(old), func(l gather.List, _ []shardcall.Address) { failed = failed || l.Failed }, nil, log)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { f.Run(ctx); close(ended) }()
+	for i, want := range []string{"old?", "old?index=41&wait=2000", "new?", "new?index=41&wait=2000"} {
+		if i == 2 {
+			f.Move(at(next))
+		}
+		if got := <-asked; got != want {
+			t.Errorf("call %d is %s, want %s", i, got, want)
+		}
+	}
+	f.Move(at(next)) // as it is: the watch goes on
+	stop()
+	<-ended
+	if failed || len(asked) > 0 {
+		t.Errorf("failed %v, %d calls more", failed, len(asked))
+	}
+}
