Bad clients: strict reading, both lengths refused, silent connections go first

Found by reading and shown by tests: net/http's ReadHeaderTimeout of 5 s and the client's own time for a body pass the 3 s owed; a refusal of an unknown index waited without end for a body that did not come; a second client was served under the name of an open lookup once that had ended; weights over 1 or not adding up to 1 and times like 1e3 were taken; a head with both lengths was served by its chunks, and what its body hides next. Ruled out: weights are rounded to 6 digits (sums seen: 1 and 0.999999), so that 0.01 refuses no usual client.

At fault: front/request.go (readHead, readBody), front/server.go (hold, lookup, headTime), front/conns.go, which knew only connections that had asked, and the even split of sockets in cmd/yokeroute/serve.go.

--- a/cmd/yokeroute/serve.go
+++ b/cmd/yokeroute/serve.go
@@ -53,9 +53,11 @@
 	defer stop()
 
 	picker := pick.New(c.Seed, c.Terms, log)
-	// Clients and shard servers share evenly what the process leaves of its sockets.
-	each := (c.Limits.Sockets - ownSockets) / 2
-	pool := shardcall.New(c.Terms, each, picker, log)
+	// One connection to a shard server carries many parts, one from a client a single lookup: of what the process
+	// leaves of its sockets a quarter is for shard servers. Clients may pass their share by an eighth for a moment.
+	rest := c.Limits.Sockets - ownSockets
+	clients := (rest - rest/4) * 8 / 9
+	pool := shardcall.New(c.Terms, rest/4, picker, log)
 	var listed atomic.Bool
 	follower := discovery.New(c.Discovery, func(list gather.List, all []shardcall.Address) {
 		pool.Follow(all) // first, so that the module names no server whose address is not known
@@ -67,7 +69,7 @@
 	if c.Known != nil {
 		follower.Take(c.Known)
 	}
-	server := front.New(picker, c.Terms, each, listed.Load, log)
+	server := front.New(picker, c.Terms, clients, listed.Load, log)
 
 	// What serves goes on until the last lookup is answered, past the signal.
 	serving, end := context.WithCancel(ctx)
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -5,39 +5,50 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 )
 
-// conns keeps the clients' connections within their bound, so that shard servers can still be reached. It
-// closes the one that has been idle longest, as clients expect of a connection between requests, and never
-// leaves one waiting unaccepted: what is written to such a one counts as taken.
+// conns keeps the clients' connections within their bound, so that shard servers can still be reached and no
+// descriptor is missing for the next client. Where there are too many it closes one on which nothing is asked:
+// one that never asked goes before one that has, and each kind the longest first. None is left waiting
+// unaccepted: what is written to such a one counts as taken.
 type conns struct {
-	most int
+	most int // on which something may be asked
+	full int // all told; above it what comes is closed at once, against running out of descriptors
 
 	mu     sync.Mutex
 	open   int
-	idle   *list.List
-	at     map[net.Conn]*list.Element
+	fresh  *list.List // have not asked yet, by age
+	idle   *list.List // have, by the end of their last request
+	at     map[net.Conn]place
 	closed map[net.Conn]bool // by us, and no longer counted, though net/http has not noticed yet
 }
 
+type place struct {
+	in *list.List
+	e  *list.Element
+}
+
 func newConns(most int) *conns {
-	return &conns{most: most, idle: list.New(), at: map[net.Conn]*list.Element{}, closed: map[net.Conn]bool{}}
+	return &conns{most: most, full: most + most/8 + 1, fresh: list.New(), idle: list.New(), at: map[net.Conn]place{},
+		closed: map[net.Conn]bool{}}
 }
 
 // state is the hook that net/http calls at each change of a connection.
 func (c *conns) state(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e := c.at[conn]; e != nil {
-		c.idle.Remove(e)
+	if p, waits := c.at[conn]; waits {
+		p.in.Remove(p.e)
 		delete(c.at, conn)
 	}
 	switch state {
 	case http.StateNew:
 		c.open++
+		c.at[conn] = place{c.fresh, c.fresh.PushBack(conn)}
 	case http.StateIdle:
 		if !c.closed[conn] {
-			c.at[conn] = c.idle.PushBack(conn)
+			c.at[conn] = place{c.idle, c.idle.PushBack(conn)}
 		}
 	case http.StateClosed, http.StateHijacked:
 		if !c.closed[conn] {
@@ -45,16 +56,51 @@
 		}
 		delete(c.closed, conn)
 	}
-	if first := c.idle.Front(); c.open > c.most && first != nil {
-		oldest := c.idle.Remove(first).(net.Conn)
-		delete(c.at, oldest)
-		c.closed[oldest] = true
-		c.open--
-		oldest.Close()
+	if c.open > c.most && !c.makeRoom(c.fresh, conn) && !c.makeRoom(c.idle, nil) && state == http.StateNew && c.open > c.full {
+		c.close(conn)
+	}
+}
+
+// makeRoom closes the connection that has waited longest, but none on which something has come that is not read
+// yet, nor the one that is spared.
+func (c *conns) makeRoom(in *list.List, spared net.Conn) bool {
+	for e := in.Front(); e != nil; e = e.Next() {
+		if conn := e.Value.(net.Conn); conn != spared && !asked(conn) {
+			c.close(conn)
+			return true
+		}
+	}
+	return false
+}
+
+func (c *conns) close(conn net.Conn) {
+	if p, waits := c.at[conn]; waits {
+		p.in.Remove(p.e)
+		delete(c.at, conn)
+	}
+	c.closed[conn] = true
+	c.open--
+	conn.Close()
+}
+
+// asked reports whether bytes have come on a connection that nobody has read yet, without reading them.
+func asked(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
 	}
+	n := 0
+	raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n > 0
 }
 
-// crowded reports whether there are too many though none is idle.
+// crowded reports whether there are too many though nothing could be closed.
 func (c *conns) crowded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -19,6 +19,7 @@
 	mostHeaders = 16 << 10  // of a request
 	longestWait = 3_600_000 // milliseconds that a client may ask for; a longer time is a mistake
 	longestID   = 128       // bytes of a client's name for its lookup
+	rounding    = 0.01      // by which weights may miss adding up to 1
 )
 
 // fault is a request that cannot be taken, with the status that says so.
@@ -59,17 +60,18 @@
 	h := r.Header
 	lk := &pick.Lookup{ID: h.Get("X-Request-ID"), Index: index, Customer: h.Get("X-Tenant-Id"),
 		Key: h.Get("X-Route-Key"), Retry: h.Get("X-Retried") == "1"}
-	if lk.ID == "" || len(lk.ID) > longestID || strings.ContainsFunc(lk.ID, func(c rune) bool { return c <= ' ' || c == 0x7f }) {
+	if len(h["X-Request-Id"]) != 1 || lk.ID == "" || len(lk.ID) > longestID ||
+		strings.ContainsFunc(lk.ID, func(c rune) bool { return c <= ' ' || c >= 0x7f }) {
 		return nil, bad("X-Request-ID: %.40q", lk.ID)
 	}
 	if len(s.customers) > 0 && !s.customers[lk.Customer] {
 		return nil, bad("X-Tenant-Id: no customer %.40q", lk.Customer)
 	}
-	wait, err := strconv.ParseFloat(h.Get("X-Timeout-Ms"), 64)
-	if err != nil || !(wait > 0) || wait > longestWait {
+	wait, err := strconv.ParseUint(h.Get("X-Timeout-Ms"), 10, 64) // digits only: it is told in whole milliseconds
+	if err != nil || len(h["X-Timeout-Ms"]) != 1 || wait == 0 || wait > longestWait {
 		return nil, bad("X-Timeout-Ms: %.40q", h.Get("X-Timeout-Ms"))
 	}
-	lk.GiveUpAt = now + wait
+	lk.GiveUpAt = now + float64(wait)
 	return lk, nil
 }
 
@@ -86,23 +88,27 @@
 	if lk.Text, err = textOf(b.Text); err != nil {
 		return err
 	}
-	seen := make(map[int]bool, len(b.Shards))
+	seen, sum := make(map[int]bool, len(b.Shards)), 0.0
 	for i, p := range b.Shards {
 		switch {
 		case p.Shard == nil || *p.Shard < 0 || s.shards > 0 && *p.Shard >= s.shards:
 			return bad("body: shards[%d]: no such shard", i)
 		case seen[*p.Shard]:
 			return bad("body: shards[%d]: shard %d twice", i, *p.Shard)
-		case p.Weight == nil || !(*p.Weight > 0) || math.IsInf(*p.Weight, 0):
+		case p.Weight == nil || !(*p.Weight > 0) || *p.Weight > 1+rounding:
 			return bad("body: shards[%d]: weight", i)
 		case p.Cost < 0:
 			return bad("body: shards[%d]: cost", i)
 		}
 		seen[*p.Shard] = true
+		sum += *p.Weight
 		cost := p.Cost / 1000 // from microseconds
 		lk.Parts = append(lk.Parts, pick.Part{Shard: *p.Shard, Weight: *p.Weight, Cost: cost, Key: p.Key})
 		lk.Cost += cost
 	}
+	if math.Abs(sum-1) > rounding {
+		return bad("body: weights add up to %v, not 1", sum)
+	}
 	return nil
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -28,8 +28,12 @@
 const (
 	// After the platform says that the end comes, new connections go on coming for less than this.
 	lateConnections = 600 * time.Millisecond
-	// A client that takes longer than this for the head of a request is cut off.
-	headTime = 5 * time.Second
+	// A client that asks nothing, or takes longer than this for the head of a request, is cut off. What can't
+	// be read is owed an error or a close within 3 s of connecting, so that a body has what is left of them.
+	headTime = 1800 * time.Millisecond
+	bodyTime = 900 * time.Millisecond
+	// An answer that is not read is broken off this long after its lookup's own time.
+	answerTime = 5 * time.Second
 )
 
 // Server takes lookups.
@@ -47,14 +51,21 @@
 	leaving   atomic.Bool
 
 	mu     sync.Mutex
-	inHand map[string]chan struct{} // names of the lookups held, against two that could not be told apart
+	inHand map[string]*holder // names of the lookups held, against two that could not be told apart
+}
+
+// holder is the request that holds a name.
+type holder struct {
+	client context.Context
+	ended  chan struct{}
+	left   bool // its client had gone when it ended
 }
 
 // New makes a server that holds so many client connections at most; ready says whether lookups can be served.
 func New(picker Picker, terms gather.Terms, clients int, ready func() bool, log *logrus.Logger) *Server {
 	s := &Server{picker: picker, log: log, ready: ready, conns: newConns(clients), shards: int(terms.Num("shards")),
 		indexes: set(terms.Names("indexes")), customers: set(terms.Names("customers")), marked: map[string]bool{},
-		inHand: map[string]chan struct{}{}}
+		inHand: map[string]*holder{}}
 	for name := range s.indexes {
 		s.longest = max(s.longest, time.Duration(terms.Num(name+"/hard deadline")*1e6))
 		if terms.Text(name+"/effect") == "fingerprinted" {
@@ -65,7 +76,13 @@
 	errorLog := log.WriterLevel(logrus.WarnLevel) // what net/http has to say is of its listener
 	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: headTime, MaxHeaderBytes: mostHeaders,
 		ConnState: s.conns.state,
-		ErrorLog:  stdlog.New(errorLog, "", 0)}
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			if t, ok := c.(*tapped); ok {
+				return context.WithValue(ctx, tapKey{}, t)
+			}
+			return ctx
+		},
+		ErrorLog: stdlog.New(errorLog, "", 0)}
 	return s
 }
 
@@ -79,7 +96,7 @@
 
 // Serve takes connections until Drain has ended.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(l)
+	err := s.http.Serve(listener{l})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -111,6 +128,14 @@
 			refuse(w, http.StatusInternalServerError, "failed")
 		}
 	}()
+	rc := http.NewResponseController(w)
+	rc.SetReadDeadline(time.Now().Add(bodyTime))
+	rc.SetWriteDeadline(time.Now().Add(answerTime))
+	if t := tapOf(r.Context()); t != nil && t.twoLengths.Load() {
+		w.Header().Set("Connection", "close") // what follows may be a request that the body hides
+		refuse(w, http.StatusBadRequest, "Content-Length and Transfer-Encoding")
+		return
+	}
 	switch r.URL.Path {
 	case "/-/ready":
 		if s.leaving.Load() || !s.ready() {
@@ -121,7 +146,7 @@
 	case "/-/healthy":
 		refuse(w, http.StatusOK, "healthy")
 	default:
-		if err := s.lookup(w, r); err != nil {
+		if err := s.lookup(w, r, rc); err != nil {
 			s.log.WithError(err).Debug("request not taken")
 			refuse(w, statusOf(err), err.Error())
 		}
@@ -129,7 +154,7 @@
 }
 
 // lookup takes one lookup from its first byte to its answer.
-func (s *Server) lookup(w http.ResponseWriter, r *http.Request) error {
+func (s *Server) lookup(w http.ResponseWriter, r *http.Request, rc *http.ResponseController) error {
 	if s.conns.crowded() {
 		w.Header().Set("Connection", "close")
 		answer(w, pick.Verdict{Kind: pick.Nacked})
@@ -142,8 +167,13 @@
 	}
 	// A client that sends or reads slowly holds its connection no longer than its own time.
 	until := time.Now().Add(time.Duration((lk.GiveUpAt - now) * 1e6))
-	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(until)
+	if left := time.Until(until); left < bodyTime {
+		rc.SetReadDeadline(until)
+	}
+	if r.ContentLength > mostBody { // before any of it is read
+		w.Header().Set("Connection", "close")
+		return &http.MaxBytesError{Limit: mostBody}
+	}
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
 	if err != nil {
 		return err
@@ -152,42 +182,51 @@
 	if err := s.readBody(lk, text); err != nil {
 		return err
 	}
-	if err := s.hold(r.Context(), lk.ID, until); err != nil {
+	h, err := s.hold(r.Context(), lk.ID)
+	if err != nil {
 		return err
 	}
-	defer s.letGo(lk.ID)
+	defer s.letGo(lk.ID, h)
 	v := s.picker.Pick(r.Context(), lk)
-	rc.SetWriteDeadline(until.Add(headTime))
+	rc.SetWriteDeadline(until.Add(answerTime))
 	answer(w, v)
 	return nil
 }
 
 // hold takes a name. A client whose connection was closed under its request sends it once more and may be here
-// before the first has ended; it waits for that, within its own time.
-func (s *Server) hold(ctx context.Context, id string, until time.Time) error {
-	ctx, cancel := context.WithDeadline(ctx, until)
-	defer cancel()
+// before the first has ended; it waits for that. Where the first is answered, its client is another one that
+// is still there, and this one has no right to its name.
+func (s *Server) hold(ctx context.Context, id string) (*holder, error) {
+	limit := time.NewTimer(bodyTime)
+	defer limit.Stop()
+	taken := &fault{http.StatusConflict, "a lookup of this X-Request-ID is in hand"}
 	for {
 		s.mu.Lock()
 		first := s.inHand[id]
 		if first == nil {
-			s.inHand[id] = make(chan struct{})
+			h := &holder{client: ctx, ended: make(chan struct{})}
+			s.inHand[id] = h
+			s.mu.Unlock()
+			return h, nil
 		}
 		s.mu.Unlock()
-		if first == nil {
-			return nil
-		}
 		select {
-		case <-first:
+		case <-first.ended:
+			if !first.left {
+				return nil, taken
+			}
+		case <-limit.C:
+			return nil, taken
 		case <-ctx.Done():
-			return &fault{http.StatusConflict, "a lookup of this X-Request-ID is in hand"}
+			return nil, ctx.Err()
 		}
 	}
 }
 
-func (s *Server) letGo(id string) {
+func (s *Server) letGo(id string, h *holder) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	close(s.inHand[id])
+	h.left = h.client.Err() != nil
+	close(h.ended)
 	delete(s.inHand, id)
 }
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -107,6 +108,11 @@
 		{"time-out huge", change("480", "99999999999999"), 400},
 		{"time-out infinite", change("480", "Inf"), 400},
 		{"time-out no number", change("480", "soon"), 400},
+		{"time-out no whole number", change("480", "1e3"), 400},
+		{"time-out with a sign", change("480", "+480"), 400},
+		{"two time-outs", change("X-Timeout-Ms: 480", "X-Timeout-Ms: 480\r\nX-Timeout-Ms: 9"), 400},
+		{"two ids", change("X-Request-ID: a1", "X-Request-ID: a1\r\nX-Request-ID: a2"), 400},
+		{"id not in ASCII", change("a1", "\u00e4"), 400},
 		{"no JSON", post("/find", headers, "{"), 400},
 		{"no parts", post("/find", headers, `{"shards":[],"q":"x"}`), 400},
 		{"no text", body(`,"q":"c41e"`, ""), 400},
@@ -117,7 +123,11 @@
 		{"shard doubled", body(`"shard":3`, `"shard":9`), 400},
 		{"shard no number", body(`"shard":3`, `"shard":"x"`), 400},
 		{"weight zero", body("0.5", "0"), 400},
+		{"weight over one", post("/find", headers, `{"shards":[{"shard":3,"weight":1.5}],"q":"x"}`), 400},
+		{"weights that fall short", body("0.5", "0.25"), 400},
+		{"weights that go over", body("0.5", "0.75"), 400},
 		{"cost negative", body("9000", "-1"), 400},
+		{"body too large, none of it sent", "POST /find HTTP/1.1\r\n" + headers + "Content-Length: 60000000\r\n\r\n", 413},
 		{"body too large", post("/find", headers, strings.Repeat(" ", mostBody)+parts), 413},
 		{"headers too large", change("acme", strings.Repeat("a", 2*mostHeaders)), 431},
 	} {
@@ -127,6 +137,11 @@
 			}
 		})
 	}
+	// What was rounded by the client is no mistake of it.
+	lk := &pick.Lookup{}
+	if err := (&Server{}).readBody(lk, []byte(`{"shards":[{"shard":1,"weight":0.333333},{"shard":2,"weight":0.666666}],"q":"x"}`)); err != nil {
+		t.Error(err)
+	}
 	if status, _, _ := talk(t, address, change("480", "0")+change("480", "-1"), 2); status[1] != 400 {
 		t.Errorf("status %v", status)
 	}
@@ -232,6 +247,176 @@
 	}
 }
 
+// TestOpenName guards against serving a client that comes with the name of another's open lookup.
+func TestOpenName(t *testing.T) {
+	hold := make(chan struct{})
+	f, _, address := start(t, 10, func(context.Context, *pick.Lookup) pick.Verdict {
+		<-hold
+		return pick.Verdict{Kind: pick.Aborted}
+	})
+	first := make(chan []int, 1)
+	go func() {
+		status, _, _ := talk(t, address, post("/find", headers, parts), 1)
+		first <- status
+	}()
+	<-f.took
+	if status, _, _ := talk(t, address, post("/find", headers, parts), 1); status[0] != 409 || len(f.took) != 0 {
+		t.Errorf("the second is answered %v", status)
+	}
+	close(hold)
+	if status := <-first; status[0] != 504 {
+		t.Errorf("the first is answered %v", status)
+	}
+}
+
+// TestNameAfterWait has a second request wait for the first to end. Where the first was answered its client is
+// another one; where it was left the second may be the same client, whose connection was closed under it.
+func TestNameAfterWait(t *testing.T) {
+	for _, left := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &Server{inHand: map[string]*holder{}}
+			client, leave := context.WithCancel(t.Context())
+			defer leave()
+			first, err := s.hold(client, "a")
+			if err != nil {
+				t.Fatal(err)
+			}
+			second := make(chan error)
+			go func() {
+				_, err := s.hold(t.Context(), "a")
+				second <- err
+			}()
+			synctest.Wait()
+			if left {
+				leave()
+			}
+			s.letGo("a", first)
+			if err := <-second; (err == nil) != left {
+				t.Errorf("left %v: the second gets %v", left, err)
+			}
+		})
+	}
+}
+
+// TestTwoLengths guards against a request that hides in the body of one that bears both lengths: nothing on that
+// connection is served from there on. A body of either kind alone is fine, and so is what comes in pieces.
+func TestTwoLengths(t *testing.T) {
+	f, _, address := start(t, 10, func(context.Context, *pick.Lookup) pick.Verdict { return pick.Verdict{Kind: pick.Aborted} })
+	hidden := post("/find", headers, parts)
+	for _, both := range []string{"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "transfer-encoding: chunked\r\nCONTENT-LENGTH: 4\r\n",
+		"Transfer-Encoding: chunked\r\nX: y\r\nContent-Length: 0\r\n"} {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text := post("/find", headers, parts) + "POST /find HTTP/1.1\r\n" + headers + both + "\r\n0\r\n\r\n" + hidden
+		for _, piece := range []string{text[:120], text[120:300], text[300:]} {
+			io.WriteString(c, piece)
+		}
+		got, _ := io.ReadAll(c) // until it is closed
+		c.Close()
+		if strings.Count(string(got), "HTTP/1.1 ") > 2 || !strings.Contains(string(got), "400 Bad Request") {
+			t.Errorf("%q: answered %s", both, got)
+		}
+	}
+	for len(f.took) > 0 {
+		<-f.took // the first of each connection, unless the mark came with it
+	}
+	chunked := fmt.Sprintf("POST /find HTTP/1.1\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", headers, len(parts), parts)
+	if status, _, _ := talk(t, address, post("/find", headers, parts)+chunked+hidden, 3); status[0]+status[1]+status[2] != 3*504 {
+		t.Errorf("status %v", status)
+	}
+}
+
+// TestSlow wants a client that says nothing, or half of something, out of the way within the 3 s that it is owed.
+func TestSlow(t *testing.T) {
+	_, _, address := start(t, 10, nil)
+	slow := strings.Replace(headers, "480", "60000", 1)
+	done := make(chan string)
+	texts := []string{"", "POST /find HTTP/1.1\r\nX: ", "POST /find HTTP/1.1\r\n" + slow + "Content-Length: 500\r\n\r\n{",
+		"POST /sing HTTP/1.1\r\n" + slow + "Content-Length: 500\r\n\r\n{"}
+	start := time.Now()
+	for _, text := range texts {
+		go func() {
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			io.WriteString(c, text)
+			c.SetReadDeadline(start.Add(3 * time.Second))
+			if _, err := c.Read(make([]byte, 1)); err != nil && err != io.EOF {
+				done <- fmt.Sprintf("%q: %v", text, err)
+			}
+			done <- ""
+		}()
+	}
+	for range texts {
+		if fault := <-done; fault != "" {
+			t.Error(fault)
+		}
+	}
+}
+
+// TestSilent guards against connections that never asked, which once crowded out all others: at the bound they go
+// first, but not one on which a request waits to be read.
+func TestSilent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c := newConns(3)
+	open := func(text string) (near, far net.Conn) {
+		far, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		near, err = l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { far.Close(); near.Close() })
+		io.WriteString(far, text)
+		for text != "" && !asked(near) {
+			time.Sleep(time.Millisecond)
+		}
+		return near, far
+	}
+	usual, _ := open("")
+	c.state(usual, http.StateNew)
+	c.state(usual, http.StateActive)
+	c.state(usual, http.StateIdle)
+	asking, _ := open("POST ")
+	c.state(asking, http.StateNew)
+	silent, far := open("")
+	c.state(silent, http.StateNew)
+	last, _ := open("")
+	c.state(last, http.StateNew)
+	if _, err := far.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the silent one is still open: %v", err)
+	}
+	for name, conn := range map[string]net.Conn{"idle": usual, "asking": asking, "last": last} {
+		if c.closed[conn] {
+			t.Errorf("the %s one was closed", name)
+		}
+	}
+	c.state(last, http.StateActive)
+	c.state(asking, http.StateActive)
+	c.state(usual, http.StateActive)
+	var more []net.Conn // all in use: a few more may come, for an answer that says so, and then none
+	for range 3 {
+		near, _ := open("POST ")
+		c.state(near, http.StateNew)
+		c.state(near, http.StateActive)
+		more = append(more, near)
+	}
+	if c.closed[more[0]] || !c.closed[more[1]] || !c.closed[more[2]] {
+		t.Errorf("of three too many %v were closed", c.closed)
+	}
+}
+
 // TestCrowd wants the connection idle longest closed at the bound and no longer counted from then on, before its
 // own goroutine has noticed: counted on, it had new clients nacked.
 func TestCrowd(t *testing.T) {
