Spoilt answers: a name never asked ends its connection, noise behind a good one spoils no call

Of 62 answers for which nothing waited 53 were for parts given up or answered: those must go on spoiling nothing.

At fault: shardcall/conn.go (answered, which ignored every unknown name), shardcall/frame.go (parseAnswer took a line without a readable score, and any bytes as a value; a kept buffer never shrank).

--- a/internal/shardcall/frame.go
+++ b/internal/shardcall/frame.go
@@ -8,8 +8,20 @@
 	"fmt"
 	"io"
 	"strconv"
+	"unicode"
+	"unicode/utf8"
 )
 
+// mostSpare bounds the buffers that a connection keeps, against holding on to its largest frame for good.
+const mostSpare = 4 << 10
+
+func spare(buf []byte) []byte {
+	if cap(buf) > mostSpare {
+		return nil
+	}
+	return buf
+}
+
 // longest bounds what one frame may hold: a value has to fit into an answer to a client, which holds 64 KiB.
 const longest = 64<<10 + 1<<10
 
@@ -61,7 +73,7 @@
 	if length < 1 || length > longest {
 		return 0, nil, buf, fmt.Errorf("frame of %d bytes", length)
 	}
-	if cap(buf) < length {
+	if buf = spare(buf); cap(buf) < length {
 		buf = make([]byte, length)
 	}
 	buf = buf[:length]
@@ -71,13 +83,28 @@
 	return buf[0], buf[1:], buf, nil
 }
 
-// parseAnswer takes an A frame apart. The value is a copy, against the frame's buffer being used again.
+// parseAnswer takes an A frame apart and checks all of it that decides anything; a report that can't be read
+// spoils nothing. The value is a copy, against the frame's buffer being used again. It goes to the client as text,
+// so that one that is none, such as the beginning of the next frame behind a wrong length, can't be passed on.
 func parseAnswer(body []byte) (answer, error) {
 	line, value, found := bytes.Cut(body, []byte{'\n'})
-	id, rest, spaced := bytes.Cut(line, []byte{' '})
-	if !found || !spaced || len(id) == 0 {
+	words := bytes.SplitN(line, []byte{' '}, 4)
+	if !found || len(words) < 3 || len(words[0]) == 0 {
 		return answer{}, errors.New("answer without its line")
 	}
-	end, _, _ := bytes.Cut(rest, []byte{' '})
-	return answer{id: string(id), end: string(end), value: bytes.Clone(value)}, nil
+	a := answer{id: string(words[0]), end: string(words[1])}
+	if _, err := strconv.ParseFloat(string(words[2]), 64); err != nil && string(words[2]) != "-" {
+		return answer{}, fmt.Errorf("answer with the score %.50q", words[2])
+	}
+	switch a.end {
+	case "ok":
+		if !utf8.Valid(value) || bytes.ContainsFunc(value, unicode.IsControl) {
+			return answer{}, errors.New("answer whose value is no text")
+		}
+		a.value = bytes.Clone(value)
+	case "busy", "err":
+	default:
+		return answer{}, fmt.Errorf("answer that ends in %.50q", a.end)
+	}
+	return a, nil
 }
--- a/internal/shardcall/pool.go
+++ b/internal/shardcall/pool.go
@@ -5,6 +5,7 @@
 package shardcall
 
 import (
+	"errors"
 	"math"
 	"net"
 	"slices"
@@ -37,6 +38,7 @@
 	connectTime time.Duration
 	idleTime    time.Duration
 	silence     time.Duration
+	memory      time.Duration // for which an answer may still come after its part was given up
 	dial        func(address string) (net.Conn, error)
 	perFrame    int
 	perConn     int
@@ -92,6 +94,7 @@
 	p.silence = math.MaxInt64
 	for _, index := range terms.Names("indexes") {
 		p.silence = min(p.silence, span(index+"/soft deadline"))
+		p.memory = max(p.memory, 2*span(index+"/hard deadline"))
 	}
 	return p
 }
@@ -240,6 +243,9 @@
 		if c.out[a.id] == a {
 			delete(c.out, a.id)
 			c.calm()
+			if e := (*Error)(nil); errors.As(err, &e) && (e.Stage == GivenUp || e.Stage == OutOfTime) {
+				c.expect(a.id)
+			}
 		}
 		c.free()
 	}
