Servers that left leave the books of discovery and facade

Found by reading: discovery kept the name, number and address of every server that there ever was (two maps for good, the others until the next whole list), the facade the entry. The module gives a gone server's place to the next; a test now holds it to that.

At fault: discovery/follow.go (Take, number), pick/pick.go (learn).

--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -94,15 +95,33 @@
 		state := phases[m.Phase]
 		list.Servers = append(list.Servers, gather.Server{ID: id, Group: cell, Zone: m.Locality, Kind: m.Flavor,
 			Size: m.Size, State: state, Started: m.UpSince})
-		if _, known := f.held[id]; !known {
+		_, known := f.held[id]
+		switch {
+		case state == gather.Gone:
+			f.forget(id)
+			continue
+		case !known:
 			f.order = append(f.order, id)
 		}
 		f.held[id] = shardcall.Address{ID: id, HostPort: m.HostPort, State: state}
 	}
+	for _, id := range f.ids { // what a whole list lacks has gone as well
+		if _, listed := f.held[id]; !listed {
+			f.forget(id)
+		}
+	}
 	f.revision = r.Revision
 	f.tell(list, f.all())
 }
 
+// forget drops a server that has gone, against keeping all that there ever were. Its number is free again.
+func (f *Follower) forget(id uint32) {
+	delete(f.ids, f.names[id])
+	delete(f.names, id)
+	delete(f.held, id)
+	f.order = slices.DeleteFunc(f.order, func(other uint32) bool { return other == id })
+}
+
 // number keeps two names from sharing one number; the later one moves on, which costs no more than a turn.
 func (f *Follower) number(name string) uint32 {
 	id, known := f.ids[name]
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -9,6 +9,7 @@
 	"context"
 	"math"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -262,7 +263,13 @@
 		p.ids = p.ids[:0]
 	}
 	for _, e := range l.Servers {
-		if _, known := p.servers[e.ID]; !known {
+		_, known := p.servers[e.ID]
+		switch {
+		case e.State == gather.Gone: // against keeping all servers that there ever were
+			delete(p.servers, e.ID)
+			p.ids = slices.DeleteFunc(p.ids, func(id uint32) bool { return id == e.ID })
+			continue
+		case !known:
 			p.ids = append(p.ids, e.ID)
 		}
 		p.servers[e.ID] = e
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -287,3 +287,21 @@
 		t.Errorf("verdict %+v, %v late", v, late)
 	}
 }
+
+// TestBounds replaces servers and ends lookups by the thousand, and wants nothing kept of them.
+func TestBounds(t *testing.T) {
+	p := newPicker(t, nil)
+	p.round(1000)
+	for i := range uint32(2000) {
+		p.Follow(gather.List{Servers: []gather.Server{{ID: 100 + i}, {ID: 99 + i, State: gather.Gone}}})
+		lk := lookup("any", 2, 1000+float64(i)*5+1000)
+		p.admit(lk)
+		for _, c := range p.round(1000 + float64(i)*5).Calls {
+			p.Report(c, gather.Answered, []byte("v"))
+		}
+	}
+	p.round(1000 + 2001*5)
+	if len(p.servers) != 7 || len(p.ids) != 7 || len(p.lookups) > 1 || len(p.parts) > 2 || p.held > 3 {
+		t.Errorf("%d servers, %d ids, %d lookups, %d parts, %d held", len(p.servers), len(p.ids), len(p.lookups), len(p.parts), p.held)
+	}
+}
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -236,3 +236,15 @@
 		t.Errorf("%v allocations in a round with nothing in it", n)
 	}
 }
+
+// TestReplaced guards against arrays and maps that grow where each server is replaced by one of a new id.
+func TestReplaced(t *testing.T) {
+	g := New(1, gather.Terms{"indexes": []string{"i"}, "i/soft deadline": 1000.0, "groups": 1.0, "groups in a row": 1.0})
+	p := &player{t: t, to: map[string]uint32{}, sent: map[uint64]int{}}
+	for i := range uint32(1000) {
+		g.Round(&gather.Round{Now: 1000 + float64(i), Lists: []gather.List{{Servers: []gather.Server{{ID: i, State: gather.Gone}, {ID: i + 1}}}}}, p)
+	}
+	if len(g.ids) > 3 || len(g.dense) > 3 || len(g.records) > 3 {
+		t.Errorf("%d ids, %d in the map, %d rows of records", len(g.ids), len(g.dense), len(g.records))
+	}
+}
