Once-only parts pass by a server that has lost a part lately

Ruled out: the pool keeping silent connections too long (it changes after the shortest soft deadline, as its terms say), and parts sharing a frame (single parts are lost as often).

At fault: logic.go, skipped, which weighs a lost once-only part like a late one.

--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -1,10 +1,18 @@
 // Package order finds values by their rank.
 package order
 
-// Kth is the value that would stand at k if values were sorted, for k within them. It moves values about but
+// Median is the middle value, the upper one of two, or the other where there is none. It moves values about.
+func Median(values []float64, otherwise float64) float64 {
+	if len(values) == 0 {
+		return otherwise
+	}
+	return kth(values, len(values)/2)
+}
+
+// kth is the value that would stand at k if values were sorted, for k within them. It moves values about but
 // does not sort them: Hoare's selection takes time by their number, where sorting thousands in each round took
 // three fifths of a gatherer's CPU.
-func Kth(values []float64, k int) float64 {
+func kth(values []float64, k int) float64 {
 	for low, high := 0, len(values)-1; low < high; {
 		pivot, i, j := values[low+(high-low)/2], low, high
 		for i <= j {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,10 +1,9 @@
 // Package logic is the decision module of yokeroute: all decisions, tables and tuned values are here.
 //
-// One Gatherer stands for one gatherer and shares nothing with others. Call New once with a seed and the
-// terms, then Round with all that came in at one moment; the decisions go straight into the writer passed
-// with the call. The types and the writer are in package gather, the names of the terms in
-// internal/terms. The same calls always give the same decisions: the time is the round's, chance
-// comes from the seed, and no decision follows the order of a map. Why each piece is so: docs/design.md.
+// One Gatherer shares nothing with others. Call New once with a seed and the terms, then Round with all that
+// came in at one moment; the decisions go straight into the writer passed with the call (package gather; the
+// names of the terms are in internal/terms). The same calls always give the same decisions: the time is the
+// round's, chance comes from the seed, none follows the order of a map. Why each piece is so: docs/design.md.
 package logic
 
 import (
@@ -26,6 +25,7 @@
 	overS        = 2.0     // the design's "over twice s", for records and for the skip
 	patience     = 4.0     // yardsticks after which a part out no longer counts on the way
 	badShare     = 0.25    // share of failures over the group's least from which turns pass a server by
+	regained     = 20      // parts answered since one was lost from which a server gets once-only parts again
 	unsound      = 0.02    // answered records that a server gets for nothing, against ruling one out for good
 	crowd        = 1.0     // parts more than at the emptiest replica with which turns pass a server by
 	callParts    = 4       // parts that one turn takes along where calls cost; more would queue up
@@ -48,6 +48,7 @@
 type record struct {
 	at, latency, extra float64
 	passed, failed     bool
+	lost               bool // not answered, and it may have run
 }
 
 type call struct {
@@ -113,6 +114,7 @@
 	rate, s, f, r []float64
 	doubt         []float64 // f with two good records added, so that one bad part proves nothing
 	sound         []float64 // share of parts answered, late or not
+	trust         []float64 // parts answered since the last one lost
 	credit        []float64 // parts that a cold server may still be sent
 
 	holders [][]int // by shard modulo groups, as turns
@@ -228,7 +230,8 @@
 				g.groups, g.state, g.started = append(g.groups, 0), append(g.state, 0), append(g.started, 0)
 				g.records, g.out, g.last = append(g.records, nil), append(g.out, nil), append(g.last, nil)
 				g.rate, g.doubt, g.sound = append(g.rate, 0), append(g.doubt, 0), append(g.sound, 1)
-				g.s, g.f, g.r, g.credit = append(g.s, 0), append(g.f, 0), append(g.r, 0), append(g.credit, 0)
+				g.s, g.f, g.r, g.trust = append(g.s, 0), append(g.f, 0), append(g.r, 0), append(g.trust, 0)
+				g.credit = append(g.credit, 0)
 			}
 			g.dense[e.ID], g.ids[shd] = shd, e.ID
 		}
@@ -271,7 +274,7 @@
 			g.carried++
 		}
 	} else {
-		rec.extra += limit // its next call takes its time as well
+		rec.extra, rec.lost = rec.extra+limit, !c.unrun // its next call takes its time as well
 	}
 	// What we ended ourselves before it could be called slow says nothing of the server.
 	if passed || e.Outcome != gather.Stale && (e.Outcome != gather.CalledOff || waited > limit) {
@@ -313,7 +316,7 @@
 			old++
 		}
 		g.records[shd] = g.records[shd][old:]
-		var passed, failed, latency, extra float64
+		passed, failed, latency, extra, trust := 0.0, 0.0, 0.0, 0.0, math.Inf(1)
 		for _, rec := range g.records[shd] {
 			if rec.passed {
 				if rec.at > g.now-g.soft {
@@ -322,13 +325,16 @@
 				if rec.at > g.now-span {
 					fresh = append(fresh, rec.latency)
 				}
-				passed++
+				passed, trust = passed+1, trust+1
 				latency += rec.latency
 			}
 			if rec.failed {
 				failed++
 				extra += rec.extra
 			}
+			if rec.lost {
+				trust = 0
+			}
 		}
 		n := float64(len(g.records[shd]))
 		// A part out over twice s has failed by the design's own word, before it ends: against learning of a
@@ -342,7 +348,7 @@
 			}
 		}
 		g.s[shd], g.f[shd], g.r[shd], g.doubt[shd] = g.soft/10, failed/max(n, 1), g.soft/2, failed/(n+2)
-		g.sound[shd] = (passed + unsound) / (n + unsound)
+		g.sound[shd], g.trust[shd] = (passed+unsound)/(n+unsound), trust
 		if passed > 0 {
 			g.s[shd] = latency / passed
 		}
@@ -358,17 +364,10 @@
 			g.earn(shd)
 		}
 	}
-	g.usual, g.normal = median(calls, 0), median(fresh, g.soft/10)
+	g.usual, g.normal = order.Median(calls, 0), order.Median(fresh, g.soft/10)
 	g.carried, g.warm, g.scratch = 0, warm, [2][]float64{fresh, calls}
 }
 
-func median(values []float64, otherwise float64) float64 {
-	if len(values) > 0 {
-		otherwise = order.Kth(values, len(values)/2)
-	}
-	return otherwise
-}
-
 func (g *Gatherer) take(in *gather.Round) {
 	for _, l := range in.Lookups {
 		lk := &lookup{Lookup: l, ix: g.index(l.Index), landed: g.now}
@@ -581,9 +580,8 @@
 	return from + (1-from)*max(age, 0)/cold
 }
 
-// earn lets a cold server be sent its share of what this gatherer sees a warm one answer: over all gatherers,
-// however uneven, a part of what the rule allows. They take turns by number, which says how much of its first
-// part each starts with. Where nothing is warm, a quarter of the rule for one core is shared out evenly.
+// earn lets a cold server be sent its share of what we see a warm one answer: over all gatherers, however
+// uneven, a part of the rule. Where nothing is warm, a quarter of it for one core is shared out evenly.
 func (g *Gatherer) earn(shd int) {
 	least := g.elapsed / max(g.normal, 1) / 4 / max(g.terms.Num("gatherers"), 1)
 	earned := g.terms.Num("fall multiple") * g.coldShare(shd) * max(coldPush*g.carried/max(g.warm, 1), least)
@@ -611,11 +609,13 @@
 }
 
 // skipped reports whether the turns pass a server by: the design's companion first. Then one whose failures
-// stand out; its records run out, and it is tried again by one part at a time.
+// stand out; its records run out, and it is tried again by one part at a time. Last, for parts that can't be
+// sent again, one that has lost a part lately: others find out whether it still loses them.
 func (g *Gatherer) skipped(shd int, p *part) bool {
 	c := g.last[shd]
 	out := c != nil && !c.ended
-	return out && (g.now-c.at > overS*g.s[shd] || len(g.records[shd]) == 0) || g.standsOut(shd, p)
+	return out && (g.now-c.at > overS*g.s[shd] || len(g.records[shd]) == 0) || g.standsOut(shd, p) ||
+		p.lk.ix.effect == "once-only" && g.trust[shd] < regained
 }
 
 // peek gives the replica whose turn it is, or -1; where all are skipped, the one that is least bad.
@@ -631,8 +631,7 @@
 			emptiest = min(emptiest, float64(len(g.out[shd])))
 		}
 	}
-	// A fresh server in this gatherer's turn goes first: with ordinary turns on top of those, many gatherers
-	// would leave it idle while it warms, and whoever stands in for it crowded.
+	// A fresh server goes first: with ordinary turns on top, it would stay idle while it warms.
 	for i := range 2 * n {
 		shd := g.holders[base][(g.turns[base].next+i)%n]
 		if !g.usable(shd, p) || i < n && g.coldShare(shd) == 1 {
