--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,7 +25,7 @@
 	overS        = 2.0     // the design's "over twice s", for records and for the skip
 	patience     = 4.0     // yardsticks after which a part out no longer counts on the way
 	badShare     = 0.25    // share of failures over the group's least from which turns pass a server by
-	regained     = 20      // parts answered since one was lost from which a server gets once-only parts again
+	regained     = 10      // parts answered since one was lost from which a server gets once-only parts again
 	unsound      = 0.02    // answered records that a server gets for nothing, against ruling one out for good
 	crowd        = 1.0     // parts more than at the emptiest replica with which turns pass a server by
 	callParts    = 4       // parts that one turn takes along where calls cost; more would queue up
