A part that was turned away goes to a replica that has not seen it

Seen on the second incident (a probe printed each lost call): six of some 28 lookups that failed were nacked within 2 to 9 ms, their part turned away three times running by the same server, which drained before the list said so: it was quick, empty, and the others were passed by. Ruled out: the budget (not spent) and the list (silent discovery, nothing told).

At fault: logic.go, usable, which let a server that had not run the part have it again at once.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -591,8 +591,8 @@
 // usable reports whether a server may be sent the part at all.
 func (g *Gatherer) usable(shd int, p *part) bool {
 	for _, c := range p.calls {
-		if c.shd == shd && !c.unrun {
-			return false // the same server would only answer the same again
+		if c.shd == shd && (!c.unrun || len(g.holders[p.Shard%len(g.holders)]) > len(p.calls)) {
+			return false // the same server would only answer the same again; one that turned away, too
 		}
 	}
 	return g.coldShare(shd) == 1 || g.credit[shd] >= 1
