Front: standard names for shutdown, lame duck, time-outs and the client's connection

Words of ours hid standard terms: Drain of the front is a graceful Shutdown, its late connections a lame-duck time, tapped is the clientConn, and the time-outs are named as net/http names its own. No change of behaviour.

--- a/internal/front/tap.go
+++ b/internal/front/clientconn.go
@@ -7,10 +7,10 @@
 	"sync/atomic"
 )
 
-// tapped is a client's connection whose bytes are looked at as they come. net/http takes Content-Length out of
+// clientConn is a client's connection whose bytes are looked at as they come. net/http takes Content-Length out of
 // a head that has Transfer-Encoding too, and what a body of two lengths hides would then be passed on: only the
 // raw head tells of both.
-type tapped struct {
+type clientConn struct {
 	*net.TCPConn
 	twoLengths atomic.Bool // for good: nothing that comes after may be served
 
@@ -19,14 +19,14 @@
 	length, coding bool   // which headers have stood since the last empty line
 }
 
-type tapKey struct{}
+type connKey struct{}
 
 var (
 	lengthHeader = []byte("content-length")
 	codingHeader = []byte("transfer-encoding")
 )
 
-// listener hands out tapped connections.
+// listener hands out connections as clientConn.
 type listener struct{ net.Listener }
 
 func (l listener) Accept() (net.Conn, error) {
@@ -35,18 +35,18 @@
 		return nil, err
 	}
 	if tcp, ok := c.(*net.TCPConn); ok {
-		return &tapped{TCPConn: tcp}, nil
+		return &clientConn{TCPConn: tcp}, nil
 	}
 	return c, nil
 }
 
-// tapOf is the connection that a request came on, or nil where it is not tapped.
-func tapOf(ctx context.Context) *tapped {
-	t, _ := ctx.Value(tapKey{}).(*tapped)
+// connOf is the connection that a request came on, or nil where it is another kind.
+func connOf(ctx context.Context) *clientConn {
+	t, _ := ctx.Value(connKey{}).(*clientConn)
 	return t
 }
 
-func (t *tapped) Read(p []byte) (int, error) {
+func (t *clientConn) Read(p []byte) (int, error) {
 	n, err := t.TCPConn.Read(p)
 	t.look(p[:n])
 	return n, err
@@ -54,7 +54,7 @@
 
 // look goes through the bytes line by line. It need not know where a body ends: header lines begin lines in
 // any head, and a body that holds such lines is none of a lookup.
-func (t *tapped) look(p []byte) {
+func (t *clientConn) look(p []byte) {
 	for len(p) > 0 {
 		at := bytes.IndexByte(p, '\n')
 		end := at
@@ -72,7 +72,7 @@
 	}
 }
 
-func (t *tapped) endLine() {
+func (t *clientConn) endLine() {
 	name, _, found := bytes.Cut(t.line, []byte{':'})
 	switch {
 	case len(bytes.TrimRight(t.line, "\r")) == 0:
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -33,10 +33,10 @@
 	from time.Time
 }
 
-// sayTime is how long a new connection has to say something before it goes ahead of those that have asked. A
+// firstByteTimeout is how long a new connection has to say something before it goes ahead of those that have asked. A
 // usual client asks as soon as it is connected, but not in the same moment: closing new ones at once failed a
 // fifth of all lookups where idle connections took up the bound.
-const sayTime = 200 * time.Millisecond
+const firstByteTimeout = 200 * time.Millisecond
 
 func newConns(most, kept int) *conns {
 	return &conns{most: most, kept: kept, full: most + most/8 + 1, fresh: list.New(), idle: list.New(), at: map[net.Conn]place{},
@@ -73,7 +73,7 @@
 		return
 	}
 	switch {
-	case c.makeRoom(c.fresh, now.Add(-sayTime)), c.makeRoom(c.idle, now), c.makeRoom(c.fresh, now.Add(-sayTime/10)):
+	case c.makeRoom(c.fresh, now.Add(-firstByteTimeout)), c.makeRoom(c.idle, now), c.makeRoom(c.fresh, now.Add(-firstByteTimeout/10)):
 	case state == http.StateNew && c.open > c.full:
 		c.close(conn)
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -28,15 +28,15 @@
 
 const (
 	// After the platform says that the end comes, new connections go on coming for less than this.
-	lateConnections = 600 * time.Millisecond
+	lameDuck = 600 * time.Millisecond
 	// A client that asks nothing, or takes longer than this for the head of a request, is cut off. What can't
 	// be read is owed an error or a close within 3 s of connecting, so that a body has what is left of them.
-	headTime = 1800 * time.Millisecond
-	bodyTime = 900 * time.Millisecond
+	readHeaderTimeout = 1800 * time.Millisecond
+	readBodyTimeout   = 900 * time.Millisecond
 	// A connection on which nothing is asked any more may be closed after this.
-	idleTime = 2 * time.Second
+	idleTimeout = 2 * time.Second
 	// An answer that is not read is broken off this long after its lookup's own time.
-	answerTime = 5 * time.Second
+	writeTimeout = 5 * time.Second
 )
 
 // Server takes lookups.
@@ -78,12 +78,12 @@
 		}
 	}
 	errorLog := log.WriterLevel(logrus.WarnLevel) // what net/http has to say is of its listener
-	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: headTime, MaxHeaderBytes: mostHeaders,
-		IdleTimeout: idleTime,
+	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: mostHeaders,
+		IdleTimeout: idleTimeout,
 		ConnState:   s.conns.state,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			if t, ok := c.(*tapped); ok {
-				return context.WithValue(ctx, tapKey{}, t)
+			if t, ok := c.(*clientConn); ok {
+				return context.WithValue(ctx, connKey{}, t)
 			}
 			return ctx
 		},
@@ -107,7 +107,7 @@
 	s.admin[path] = handler
 }
 
-// Serve takes connections until Drain has ended.
+// Serve takes connections until Shutdown has ended.
 func (s *Server) Serve(l net.Listener) error {
 	err := s.http.Serve(listener{l})
 	if errors.Is(err, http.ErrServerClosed) {
@@ -116,16 +116,16 @@
 	return err
 }
 
-// Drain asks clients to go, takes those that come late, and returns once all that was taken is answered: after
+// Shutdown asks clients to go, takes those that come late, and returns once all that was taken is answered: after
 // the time of the last that may come at the latest.
-func (s *Server) Drain(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, lateConnections+s.longest)
+func (s *Server) Shutdown(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, lameDuck+s.longest)
 	defer cancel()
 	s.leaving.Store(true)
 	s.http.SetKeepAlivesEnabled(false)
 	select {
 	case <-ctx.Done():
-	case <-time.After(lateConnections):
+	case <-time.After(lameDuck):
 	}
 	err := s.http.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) { // some client holds a connection on which it asks nothing
@@ -142,9 +142,9 @@
 		}
 	}()
 	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(time.Now().Add(bodyTime))
-	rc.SetWriteDeadline(time.Now().Add(answerTime))
-	if t := tapOf(r.Context()); t != nil && t.twoLengths.Load() {
+	rc.SetReadDeadline(time.Now().Add(readBodyTimeout))
+	rc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if t := connOf(r.Context()); t != nil && t.twoLengths.Load() {
 		w.Header().Set("Connection", "close") // what follows may be a request that the body hides
 		refuse(w, http.StatusBadRequest, "Content-Length and Transfer-Encoding")
 		return
@@ -186,7 +186,7 @@
 	}
 	// A client that sends or reads slowly holds its connection no longer than its own time.
 	until := time.Now().Add(time.Duration((lk.GiveUpAt - now) * 1e6))
-	if left := time.Until(until); left < bodyTime {
+	if left := time.Until(until); left < readBodyTimeout {
 		rc.SetReadDeadline(until)
 	}
 	if r.ContentLength > mostBody { // before any of it is read
@@ -207,7 +207,7 @@
 	}
 	defer s.letGo(lk.ID, h)
 	v := s.picker.Pick(r.Context(), lk)
-	rc.SetWriteDeadline(until.Add(answerTime))
+	rc.SetWriteDeadline(until.Add(writeTimeout))
 	answer(w, v)
 	return nil
 }
@@ -216,7 +216,7 @@
 // before the first has ended; it waits for that. Where the first is answered, its client is another one that
 // is still there, and this one has no right to its name.
 func (s *Server) hold(ctx context.Context, id string) (*holder, error) {
-	limit := time.NewTimer(bodyTime)
+	limit := time.NewTimer(readBodyTimeout)
 	defer limit.Stop()
 	taken := &fault{http.StatusConflict, "a lookup of this X-Request-ID is in hand"}
 	for {
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -394,7 +394,7 @@
 	c.state(silent, http.StateNew)
 	for _, conn := range []net.Conn{asking, silent} {
 		p := c.at[conn]
-		p.from = p.from.Add(-sayTime)
+		p.from = p.from.Add(-firstByteTimeout)
 		c.at[conn] = p
 	}
 	last, _ := open("")
@@ -503,9 +503,9 @@
 	}
 }
 
-// TestDrain follows a planned restart: what is held is answered, what comes late on new connections is taken,
+// TestShutdown follows a planned restart: what is held is answered, what comes late on new connections is taken,
 // and clients are asked to go.
-func TestDrain(t *testing.T) {
+func TestShutdown(t *testing.T) {
 	hold := make(chan struct{})
 	f, s, address := start(t, 10, func(context.Context, *pick.Lookup) pick.Verdict {
 		<-hold
@@ -518,7 +518,7 @@
 	}()
 	<-f.took
 	done := make(chan error, 1)
-	go func() { done <- s.Drain(t.Context()) }()
+	go func() { done <- s.Shutdown(t.Context()) }()
 	for !s.leaving.Load() {
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -220,7 +220,7 @@
 	}
 	s.log.Info("leaving: answering what is held")
 	s.tells.leave()
-	if err := s.server.Drain(context.WithoutCancel(ctx)); err != nil {
+	if err := s.server.Shutdown(context.WithoutCancel(ctx)); err != nil {
 		return err
 	}
 	if s.record != nil {
