A shutdown answers all that it reads, and no close resets a connection under its answer

Seen by reading net/http (serve, Shutdown, closeIdleConns, closeWriteAndWait) and forced by tests: - From Shutdown on net/http reads requests and drops them without a word (serve: 'if shuttingDown return'). What came 0.6 s after SIGTERM on a connection that had come before was lost. - closeIdleConns closes what has state idle, which lasts until a whole head is parsed: a request half read was reset, and one whose bytes were read was served on to shard servers though its client had to send it again. - After 'Connection: close' the connection is closed at once, over unread bytes too, which resets it under the answer; so are those answered with 400 by net/http itself. - A lookup that came late could run past the end of the process. Ruled out: TCP_NODELAY (set by the net package), SIGTERM handled twice (the second finds the channel full).

Change: the front ends its connections itself. A request takes its connection in one step, an idle one is ended in one step, so that one of them loses; what is ended says so first, is read and dropped for up to 0.5 s, then let go of; descriptors that linger are bounded and counted in. Late lookups get the time that is left. The answer to a client that went is 504: an empty 200 went out where it had closed only its own half.

Each test of crossings_test.go was seen to fail with its piece taken out (TestShutdownHalfRead, TestShutdownNew with net/http's own shutdown, TestCloseOverUnread and TestAnswerCrossed with a plain close, TestReadThenEnded, TestLingerBound).

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -24,7 +24,8 @@
 		refuse(w, http.StatusServiceUnavailable, "nacked")
 	case pick.Aborted:
 		refuse(w, http.StatusGatewayTimeout, "aborted")
-	case pick.Left: // nobody reads it
+	case pick.Left: // as good as nobody reads it; without a word net/http would say that all is well
+		refuse(w, http.StatusGatewayTimeout, "left")
 	default:
 		refuse(w, http.StatusInternalServerError, "failed")
 	}
--- a/internal/front/clientconn.go
+++ b/internal/front/clientconn.go
@@ -4,21 +4,39 @@
 	"bytes"
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// clientConn is a client's connection whose bytes are looked at as they come. net/http takes Content-Length out of
-// a head that has Transfer-Encoding too, and what a body of two lengths hides would then be passed on: only the
-// raw head tells of both.
+// clientConn is a client's connection. It stands between net/http and the socket for what net/http does not see to:
+//
+//   - It takes Content-Length out of a head that has Transfer-Encoding too, and what a body of two lengths hides would
+//     then be passed on: only the raw head tells of both.
+//   - It closes what it takes for idle while bytes of the next request are on their way to it, goes on with what it has
+//     read of them, and closes over unread bytes, which resets the connection under the last answer.
 type clientConn struct {
 	*net.TCPConn
 	twoLengths atomic.Bool // for good: nothing that comes after may be served
 
+	mu     sync.Mutex
+	inHand bool // a request is being served; until it is answered the connection is not ours to end
+	begun  bool // bytes have been read that belong to no request in hand
+	shut   bool // ended by us: whatever is still read is nobody's request
+	linger time.Duration
+	conns  *conns // told when it lets go of its descriptor; nil in tests
+
 	// The rest belongs to whoever reads; net/http reads from one goroutine at a time.
 	line           []byte // the beginning of the line that is being read
 	length, coding bool   // which headers have stood since the last empty line
 }
 
+const (
+	// The answer's last bytes and a client's next ones may cross: for this time a connection that is being ended is
+	// read, and what comes is dropped, before its descriptor is let go. net/http waits as long where it waits at all.
+	lingerTime = 500 * time.Millisecond
+)
+
 type connKey struct{}
 
 var (
@@ -27,7 +45,10 @@
 )
 
 // listener hands out connections as clientConn.
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	conns *conns
+}
 
 func (l listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
@@ -35,7 +56,7 @@
 		return nil, err
 	}
 	if tcp, ok := c.(*net.TCPConn); ok {
-		return &clientConn{TCPConn: tcp}, nil
+		return &clientConn{TCPConn: tcp, linger: lingerTime, conns: l.conns}, nil
 	}
 	return c, nil
 }
@@ -48,10 +69,90 @@
 
 func (t *clientConn) Read(p []byte) (int, error) {
 	n, err := t.TCPConn.Read(p)
+	t.mu.Lock()
+	if t.shut { // it was ended while this waited: nothing of it may be served
+		t.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	if n > 0 {
+		t.begun = true
+	}
+	t.mu.Unlock()
 	t.look(p[:n])
 	return n, err
 }
 
+// begin takes the connection for a request; false where it has been ended already, and nothing of the request may be
+// sent on.
+func (t *clientConn) begin() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.shut {
+		return false
+	}
+	t.inHand, t.begun = true, false
+	return true
+}
+
+// whole notes that all of the request in hand has been read.
+func (t *clientConn) whole() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.begun = false
+}
+
+// rest gives the connection back after an answer.
+func (t *clientConn) rest() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inHand = false
+}
+
+// endResting ends the connection if nothing is asked on it: no request is in hand, and no byte of one has been read or
+// waits to be. A request that comes after is read by nobody, and its client sends it again elsewhere.
+func (t *clientConn) endResting() bool {
+	t.mu.Lock()
+	busy := t.inHand || t.begun || asked(t.TCPConn)
+	if !busy {
+		t.shut = true
+	}
+	t.mu.Unlock()
+	if !busy {
+		t.Close()
+	}
+	return !busy
+}
+
+// Close ends the connection. It says so to the client first and lets go of the descriptor once that has closed too, or
+// after the time to linger: a close over unread bytes would reset the connection under the answer.
+func (t *clientConn) Close() error {
+	t.mu.Lock()
+	t.shut = true
+	wait := t.linger
+	t.linger = 0 // once
+	t.mu.Unlock()
+	if wait == 0 {
+		return nil
+	}
+	if t.CloseWrite() != nil { // reset, or closed already
+		return t.TCPConn.Close()
+	}
+	t.SetReadDeadline(time.Unix(1, 0)) // wakes who reads; it is told that the connection is closed
+	t.conns.lingers(t)
+	go func() {
+		t.SetReadDeadline(time.Now().Add(wait))
+		buf := make([]byte, 4<<10)
+		for {
+			if _, err := t.TCPConn.Read(buf); err != nil {
+				break
+			}
+		}
+		t.TCPConn.Close()
+		t.conns.let(t)
+	}()
+	return nil
+}
+
 // look goes through the bytes line by line. It need not know where a body ends: header lines begin lines in
 // any head, and a body that holds such lines is none of a lookup.
 func (t *clientConn) look(p []byte) {
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -20,11 +21,18 @@
 	full int // all told; above it what comes is closed at once, against running out of descriptors
 
 	mu     sync.Mutex
+	leave  bool          // each is ended once it rests
+	none   chan struct{} // closed once none is open, while somebody waits for that
 	open   int
 	fresh  *list.List // have not asked yet, by age
 	idle   *list.List // have, by the end of their last request
 	at     map[net.Conn]place
 	closed map[net.Conn]bool // by us, and no longer counted, though net/http has not noticed yet
+
+	lingering sync.Mutex
+	ending    []*clientConn  // ended, and not yet let go of, the oldest first
+	spare     int            // of them at once
+	held      sync.WaitGroup // as many
 }
 
 type place struct {
@@ -39,8 +47,9 @@
 const firstByteTimeout = 200 * time.Millisecond
 
 func newConns(most, kept int) *conns {
-	return &conns{most: most, kept: kept, full: most + most/8 + 1, fresh: list.New(), idle: list.New(), at: map[net.Conn]place{},
-		closed: map[net.Conn]bool{}}
+	spare := most/8 + 1
+	return &conns{most: most, kept: kept, full: most + spare, spare: spare, fresh: list.New(), idle: list.New(),
+		at: map[net.Conn]place{}, closed: map[net.Conn]bool{}}
 }
 
 // state is the hook that net/http calls at each change of a connection.
@@ -56,8 +65,14 @@
 		c.open++
 		c.at[conn] = place{c.fresh, c.fresh.PushBack(conn), time.Now()}
 	case http.StateIdle:
+		if cc, ok := conn.(*clientConn); ok {
+			cc.rest()
+		}
 		if !c.closed[conn] {
 			c.at[conn] = place{c.idle, c.idle.PushBack(conn), time.Now()}
+			if c.leave {
+				c.close(conn)
+			}
 		}
 	case http.StateClosed, http.StateHijacked:
 		if !c.closed[conn] {
@@ -65,6 +80,9 @@
 		}
 		delete(c.closed, conn)
 	}
+	if c.leave {
+		c.left()
+	}
 	now := time.Now()
 	if c.open-c.fresh.Len() > c.kept { // against clients that hold what they no longer use, while others find no room
 		c.makeRoom(c.idle, now)
@@ -74,8 +92,9 @@
 	}
 	switch {
 	case c.makeRoom(c.fresh, now.Add(-firstByteTimeout)), c.makeRoom(c.idle, now), c.makeRoom(c.fresh, now.Add(-firstByteTimeout/10)):
-	case state == http.StateNew && c.open > c.full:
-		c.close(conn)
+	case state == http.StateNew && c.open > c.full: // whatever it has sent
+		conn.Close()
+		c.drop(conn)
 	}
 }
 
@@ -87,22 +106,99 @@
 		if c.at[conn].from.After(before) {
 			return false
 		}
-		if !asked(conn) {
-			c.close(conn)
+		if c.close(conn) {
 			return true
 		}
 	}
 	return false
 }
 
-func (c *conns) close(conn net.Conn) {
+// quit ends each connection once it rests; those that have not asked yet may still do so. It gives what is closed once
+// none is open.
+func (c *conns) quit() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leave, c.none = true, make(chan struct{})
+	for e := c.idle.Front(); e != nil; {
+		next := e.Next()
+		c.close(e.Value.(net.Conn))
+		e = next
+	}
+	c.left()
+	return c.none
+}
+
+// left tells who waits for it that none is open any more.
+func (c *conns) left() {
+	select {
+	case <-c.none:
+	default:
+		if c.open == 0 {
+			close(c.none)
+		}
+	}
+}
+
+// lingers notes a connection that is ended and whose descriptor is still held; where too many are, the oldest has
+// lingered long enough.
+func (c *conns) lingers(conn *clientConn) {
+	if c == nil {
+		return
+	}
+	c.lingering.Lock()
+	defer c.lingering.Unlock()
+	c.ending = append(c.ending, conn)
+	c.held.Add(1)
+	if len(c.ending) > c.spare {
+		c.ending[0].TCPConn.Close()
+		c.ending = slices.Delete(c.ending, 0, 1)
+	}
+}
+
+func (c *conns) let(conn *clientConn) {
+	if c == nil {
+		return
+	}
+	c.lingering.Lock()
+	defer c.lingering.Unlock()
+	c.ending = slices.DeleteFunc(c.ending, func(other *clientConn) bool { return other == conn })
+	c.held.Done()
+}
+
+// lingered gives what is closed once each connection that was ended has let go of its descriptor.
+func (c *conns) lingered() <-chan struct{} {
+	all := make(chan struct{})
+	go func() {
+		c.held.Wait()
+		close(all)
+	}()
+	return all
+}
+
+// close ends a connection on which nothing is asked; false where something is.
+func (c *conns) close(conn net.Conn) bool {
+	if cc, ok := conn.(*clientConn); ok {
+		if !cc.endResting() {
+			return false
+		}
+	} else {
+		if asked(conn) {
+			return false
+		}
+		conn.Close()
+	}
+	c.drop(conn)
+	return true
+}
+
+// drop no longer counts a connection that was ended.
+func (c *conns) drop(conn net.Conn) {
 	if p, waits := c.at[conn]; waits {
 		p.in.Remove(p.e)
 		delete(c.at, conn)
 	}
 	c.closed[conn] = true
 	c.open--
-	conn.Close()
 }
 
 // asked reports whether bytes have come on a connection that nobody has read yet, without reading them.
--- /dev/null
+++ b/internal/front/crossings_test.go
@@ -0,0 +1,297 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"yokeroute/internal/pick"
+)
+
+// What comes between two lines of a shutdown, of a close and of a client that goes: each crossing is forced by the
+// other side or by a gate, as docs/design/crossings.md lists them.
+
+func dial(t *testing.T, address string) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second)) // against a test that hangs
+	return c.(*net.TCPConn)
+}
+
+// read reads one answer; nothing may follow it where its connection ends.
+func read(t *testing.T, r *bufio.Reader) *http.Response {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		t.Errorf("answer cut: %v", err)
+	}
+	if resp.Close {
+		if rest, err := io.ReadAll(r); len(rest) > 0 || err != nil {
+			t.Errorf("behind the last answer: %q, %v", rest, err)
+		}
+	}
+	return resp
+}
+
+// until waits for a condition that the other side brings about.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never: ", what)
+		}
+	}
+}
+
+func aborted(context.Context, *pick.Lookup) pick.Verdict { return pick.Verdict{Kind: pick.Aborted} }
+
+// resting is a connection on which one request has been answered.
+func resting(t *testing.T, s *Server, address string) (*net.TCPConn, *bufio.Reader) {
+	t.Helper()
+	c := dial(t, address)
+	r := bufio.NewReader(c)
+	io.WriteString(c, post("/find", headers, parts))
+	if resp := read(t, r); resp.StatusCode != 504 || resp.Close {
+		t.Fatalf("answered %d, close %v", resp.StatusCode, resp.Close)
+	}
+	until(t, "the server has it for idle", func() bool {
+		s.conns.mu.Lock()
+		defer s.conns.mu.Unlock()
+		return s.conns.idle.Len() > 0
+	})
+	return c, r
+}
+
+// held is the server's end of its only connection.
+func held(t *testing.T, s *Server) *clientConn {
+	t.Helper()
+	s.conns.mu.Lock()
+	defer s.conns.mu.Unlock()
+	for conn := range s.conns.at {
+		return conn.(*clientConn)
+	}
+	t.Fatal("no connection rests")
+	return nil
+}
+
+// TestShutdownHalfRead: of a request on a resting connection the first line has been read when the shutdown begins. It
+// was closed then, as idle; it has to be taken whole and answered, and its connection ends with the answer.
+func TestShutdownHalfRead(t *testing.T) {
+	_, s, address := start(t, 10, aborted)
+	c, r := resting(t, s, address)
+	conn, text := held(t, s), post("/find", headers, parts)
+	io.WriteString(c, text[:20])
+	until(t, "half a line is read", func() bool {
+		conn.mu.Lock()
+		defer conn.mu.Unlock()
+		return conn.begun
+	})
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context()) }()
+	until(t, "leaving", func() bool { return s.leaving.Load() })
+	io.WriteString(c, text[20:])
+	if resp := read(t, r); resp.StatusCode != 504 || !resp.Close {
+		t.Errorf("answered %d, close %v", resp.StatusCode, resp.Close)
+	}
+	c.Close()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestShutdownRests: a connection that rests is ended at once, and what its client sends from then on is sent on to
+// nobody, also where it comes between the end and its notice. The client sees an end, not a reset.
+func TestShutdownRests(t *testing.T) {
+	f, s, address := start(t, 10, aborted)
+	c, r := resting(t, s, address)
+	<-f.took
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context()) }()
+	if _, err := r.ReadByte(); err != io.EOF { // the end is there, and the connection still takes what crosses it
+		t.Errorf("instead of the end: %v", err)
+	}
+	io.WriteString(c, post("/find", headers, parts))
+	c.CloseWrite()
+	if rest, err := io.ReadAll(c); len(rest) > 0 || err != nil {
+		t.Errorf("answered %q, %v", rest, err)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if len(f.took) > 0 {
+		t.Error("a request that came after the end was sent on")
+	}
+}
+
+// TestReadThenEnded: the bytes of a request have been read when the connection is ended by another goroutine. Either
+// the request is in hand and the connection stays, or the connection is ended and the request is not served.
+func TestReadThenEnded(t *testing.T) {
+	near, far := net.Listener(nil), (*net.TCPConn)(nil)
+	near, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	far = dial(t, near.Addr().String())
+	accepted, err := near.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := &clientConn{TCPConn: accepted.(*net.TCPConn), linger: lingerTime}
+	if !conn.begin() || conn.endResting() {
+		t.Error("ended under a request in hand")
+	}
+	conn.rest()
+	io.WriteString(far, "P")
+	until(t, "a byte waits", func() bool { return asked(conn.TCPConn) })
+	if conn.endResting() {
+		t.Error("ended over a byte that waits")
+	}
+	if n, err := conn.Read(make([]byte, 9)); n != 1 || err != nil {
+		t.Error(n, err)
+	}
+	if conn.endResting() {
+		t.Error("ended though a request has begun")
+	}
+	if !conn.begin() {
+		t.Error("not served")
+	}
+	conn.rest()
+	if !conn.endResting() || conn.begin() {
+		t.Error("not ended, or served after it")
+	}
+	io.WriteString(far, "POST")
+	far.CloseWrite()
+	if n, err := conn.Read(make([]byte, 9)); n != 0 || err == nil {
+		t.Errorf("read %d bytes after the end, %v", n, err)
+	}
+}
+
+// TestShutdownNew: a connection that came before the listener closed says nothing until that has closed. Its request
+// was read and dropped without a word; it has to be answered, within the time that is left of the shutdown.
+func TestShutdownNew(t *testing.T) {
+	f, s, address := start(t, 10, aborted)
+	c := dial(t, address)
+	until(t, "accepted", func() bool {
+		s.conns.mu.Lock()
+		defer s.conns.mu.Unlock()
+		return s.conns.open == 1
+	})
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context()) }()
+	<-s.served
+	io.WriteString(c, post("/find", strings.Replace(headers, "480", "3600000", 1), parts))
+	if resp := read(t, bufio.NewReader(c)); resp.StatusCode != 504 || !resp.Close {
+		t.Errorf("answered %d, close %v", resp.StatusCode, resp.Close)
+	}
+	c.Close()
+	lk := <-f.took
+	if end := f.Now() + float64(s.longest.Milliseconds()); lk.GiveUpAt > end {
+		t.Errorf("may take until %v, the process ends at %v", lk.GiveUpAt, end)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestAnswerCrossed: a client has sent more than its request when its answer, the last of its connection, is written.
+// The close over unread bytes reset the connection under the answer; it has to end.
+func TestAnswerCrossed(t *testing.T) {
+	more := make(chan struct{})
+	f, s, address := start(t, 10, func(ctx context.Context, _ *pick.Lookup) pick.Verdict {
+		<-more
+		return pick.Verdict{Kind: pick.Aborted}
+	})
+	c := dial(t, address)
+	io.WriteString(c, post("/find", headers, parts))
+	<-f.took
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context()) }()
+	until(t, "leaving", func() bool { return s.leaving.Load() })
+	for range 4 { // in pieces, so that some come after the answer is decided
+		io.WriteString(c, post("/find", headers, parts))
+	}
+	close(more)
+	if resp := read(t, bufio.NewReader(c)); resp.StatusCode != 504 || !resp.Close {
+		t.Errorf("answered %d, close %v", resp.StatusCode, resp.Close)
+	}
+	c.Close()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if len(f.took) > 0 {
+		t.Error("what came behind the last request was sent on")
+	}
+}
+
+// TestCloseOverUnread: bytes wait unread when a connection is closed behind its last answer. A plain close resets it,
+// and the answer may be lost with that; the client has to read all of it and then an end.
+func TestCloseOverUnread(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	far := dial(t, l.Addr().String())
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := &clientConn{TCPConn: accepted.(*net.TCPConn), linger: lingerTime}
+	io.WriteString(far, "more")
+	until(t, "bytes wait", func() bool { return asked(conn.TCPConn) })
+	io.WriteString(conn, "answer")
+	conn.Close()
+	if got, err := io.ReadAll(far); string(got) != "answer" || err != nil {
+		t.Errorf("%q, %v", got, err)
+	}
+	// The same where net/http answers a head that it can't read, with much more behind it.
+	_, _, address := start(t, 10, aborted)
+	c := dial(t, address)
+	io.WriteString(c, "hello\r\n\r\n"+strings.Repeat("x", 64<<10))
+	if got, err := io.ReadAll(c); !strings.Contains(string(got), " 400 ") || err != nil {
+		t.Errorf("%.40q, %v", got, err)
+	}
+}
+
+// TestLingerBound: connections that are ended and whose clients do not close theirs hold no more descriptors than were
+// counted in; the oldest goes first.
+func TestLingerBound(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c := newConns(8, 8)
+	taps := listener{l, c}
+	var far []*net.TCPConn
+	for range c.spare + 3 {
+		far = append(far, dial(t, l.Addr().String()))
+		near, err := taps.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		near.Close()
+	}
+	c.lingering.Lock()
+	if len(c.ending) != c.spare {
+		t.Errorf("%d hold their descriptors, %d may", len(c.ending), c.spare)
+	}
+	c.lingering.Unlock()
+	for _, f := range far {
+		f.Close()
+	}
+	<-c.lingered()
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	stdlog "log"
 	"net"
@@ -35,6 +34,8 @@
 	readBodyTimeout   = 900 * time.Millisecond
 	// A connection on which nothing is asked any more may be closed after this.
 	idleTimeout = 2 * time.Second
+	// Before the end of a shutdown by which its last lookups are given up on, for their answers to be written.
+	lastAnswers = 100 * time.Millisecond
 	// An answer that is not read is broken off this long after its lookup's own time.
 	writeTimeout = 5 * time.Second
 )
@@ -52,10 +53,13 @@
 	marked    map[string]bool // indexes whose lookups carry a mark that the protocol cannot pass on
 	conns     *conns
 	leaving   atomic.Bool
-	admin     map[string]http.Handler // by path, for operators
+	end       atomic.Pointer[time.Time] // by which all is answered, once leaving
+	admin     map[string]http.Handler   // by path, for operators
 
-	mu     sync.Mutex
-	inHand map[string]*holder // names of the lookups held, against two that could not be told apart
+	served   chan struct{} // closed once Serve has returned
+	mu       sync.Mutex
+	listener net.Listener
+	inHand   map[string]*holder // names of the lookups held, against two that could not be told apart
 }
 
 // holder is the request that holds a name.
@@ -69,7 +73,7 @@
 func New(picker Picker, terms gather.Terms, clients, kept int, ready func() bool, log *logrus.Logger) *Server {
 	s := &Server{picker: picker, log: log, ready: ready, conns: newConns(clients, kept), shards: int(terms.Num("shards")),
 		indexes: set(terms.Names("indexes")), customers: set(terms.Names("customers")), marked: map[string]bool{},
-		inHand: map[string]*holder{}}
+		inHand: map[string]*holder{}, served: make(chan struct{})}
 	for name := range s.indexes {
 		s.longest = max(s.longest, time.Duration(terms.Num(name+"/hard deadline")*1e6))
 		if terms.Text(name+"/effect") == "fingerprinted" {
@@ -109,8 +113,12 @@
 
 // Serve takes connections until Shutdown has ended.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(listener{l})
-	if errors.Is(err, http.ErrServerClosed) {
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
+	defer close(s.served)
+	err := s.http.Serve(listener{l, s.conns})
+	if s.leaving.Load() { // the listener was closed by Shutdown
 		return nil
 	}
 	return err
@@ -118,23 +126,44 @@
 
 // Shutdown asks clients to go, takes those that come late, and returns once all that was taken is answered: after
 // the time of the last that may come at the latest.
+//
+// It does not use net/http's own: from its Shutdown on that reads requests and drops them unanswered, and what it takes
+// for idle it closes also while a request is being read from it, which is then served to nobody.
 func (s *Server) Shutdown(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, lameDuck+s.longest)
 	defer cancel()
+	end, _ := ctx.Deadline()
+	s.end.Store(&end)
 	s.leaving.Store(true)
-	s.http.SetKeepAlivesEnabled(false)
+	s.conns.quit() // those that rest; each other one is told with its answer
 	select {
 	case <-ctx.Done():
 	case <-time.After(lameDuck):
 	}
-	err := s.http.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) { // some client holds a connection on which it asks nothing
-		return nil
+	s.mu.Lock()
+	l := s.listener
+	s.mu.Unlock()
+	if l != nil {
+		l.Close()
+		<-s.served // none is accepted any more, and all that were are counted
 	}
-	return err
+	select {
+	case <-ctx.Done(): // some client holds a connection on which it asks nothing
+	case <-s.conns.quit():
+		select {
+		case <-ctx.Done():
+		case <-s.conns.lingered():
+		}
+	}
+	s.http.Close()
+	return nil
 }
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	conn := connOf(r.Context())
+	if conn != nil && !conn.begin() {
+		return // ended while this request was on its way: its client sends it again elsewhere
+	}
 	defer func() {
 		if fault := recover(); fault != nil {
 			s.log.WithField("stack", string(debug.Stack())).Errorf("request: %v", fault)
@@ -144,11 +173,12 @@
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(time.Now().Add(readBodyTimeout))
 	rc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if t := connOf(r.Context()); t != nil && t.twoLengths.Load() {
+	if conn != nil && conn.twoLengths.Load() {
 		w.Header().Set("Connection", "close") // what follows may be a request that the body hides
 		refuse(w, http.StatusBadRequest, "Content-Length and Transfer-Encoding")
 		return
 	}
+	s.closing(w)
 	switch r.URL.Path {
 	case "/-/ready":
 		if s.leaving.Load() || !s.ready() {
@@ -165,15 +195,24 @@
 				return
 			}
 		}
-		if err := s.lookup(w, r, rc); err != nil {
+		if err := s.lookup(w, r, rc, conn); err != nil {
 			s.log.WithError(err).Debug("request not taken")
+			s.closing(w)
 			refuse(w, statusOf(err), err.Error())
 		}
 	}
 }
 
+// closing has an answer end its connection where the server is leaving: what a client sends there afterwards would come
+// too late.
+func (s *Server) closing(w http.ResponseWriter) {
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // lookup takes one lookup from its first byte to its answer.
-func (s *Server) lookup(w http.ResponseWriter, r *http.Request, rc *http.ResponseController) error {
+func (s *Server) lookup(w http.ResponseWriter, r *http.Request, rc *http.ResponseController, conn *clientConn) error {
 	if s.conns.crowded() {
 		w.Header().Set("Connection", "close")
 		answer(w, pick.Verdict{Kind: pick.Nacked})
@@ -184,6 +223,9 @@
 	if err != nil {
 		return err
 	}
+	if end := s.end.Load(); end != nil { // what comes late is answered before the end as well
+		lk.GiveUpAt = min(lk.GiveUpAt, now+float64(time.Until(*end)-lastAnswers)/1e6)
+	}
 	// A client that sends or reads slowly holds its connection no longer than its own time.
 	until := time.Now().Add(time.Duration((lk.GiveUpAt - now) * 1e6))
 	if left := time.Until(until); left < readBodyTimeout {
@@ -201,12 +243,16 @@
 	if err := s.readBody(lk, text); err != nil {
 		return err
 	}
+	if conn != nil {
+		conn.whole()
+	}
 	h, err := s.hold(r.Context(), lk.ID)
 	if err != nil {
 		return err
 	}
 	defer s.letGo(lk.ID, h)
 	v := s.picker.Pick(r.Context(), lk)
+	s.closing(w)
 	rc.SetWriteDeadline(until.Add(writeTimeout))
 	answer(w, v)
 	return nil
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -108,10 +108,11 @@
 		}
 	}
 	// One connection to a shard server carries many parts, one from a client a single lookup: of what the process
-	// leaves of its sockets a quarter is for shard servers. Clients may pass their share by an eighth for a moment.
+	// leaves of its sockets a quarter is for shard servers. Clients may pass their share by an eighth for a moment, and as
+	// many that were ended may still hold theirs.
 	// They get a third of all for requests; of those that have asked a quarter is kept, so that new ones find room.
 	rest := c.Limits.Sockets - ownSockets
-	clients := (rest - rest/4) * 8 / 9
+	clients := (rest - rest/4) * 8 / 10
 	s.pool = shardcall.New(c.Terms, rest/4, s.Picker, log)
 	marked, err := own.Fit(c.Terms)
 	if err != nil {
