A client that sends more and goes is noticed: bytes behind a request are read on

net/http reads one byte behind a request in hand and then no further while it serves (backgroundRead), so that the end of a client that has sent anything more is never seen: its lookup waited, was retried and copied for nobody. Ruled out: the client's end without bytes behind it, which net/http does see.

Change: while a lookup is being decided its connection is read on into a buffer of 16 KiB that net/http gets afterwards; what is more is dropped and the connection ends with the answer. Nothing of it is read once the answer is decided, so that a client's next request stays net/http's.

--- a/internal/front/clientconn.go
+++ b/internal/front/clientconn.go
@@ -13,6 +13,7 @@
 //
 //   - It takes Content-Length out of a head that has Transfer-Encoding too, and what a body of two lengths hides would
 //     then be passed on: only the raw head tells of both.
+//   - It reads one byte behind a request in hand and no more, and so misses that a client goes which has sent more.
 //   - It closes what it takes for idle while bytes of the next request are on their way to it, goes on with what it has
 //     read of them, and closes over unread bytes, which resets the connection under the last answer.
 type clientConn struct {
@@ -25,6 +26,10 @@
 	shut   bool // ended by us: whatever is still read is nobody's request
 	linger time.Duration
 	conns  *conns // told when it lets go of its descriptor; nil in tests
+	ahead  []byte // read while a request was in hand, for net/http
+	over   bool   // more came behind a request in hand than is kept: nothing that follows can be served
+	gone   func() // tells who serves that the client has gone; nil while nobody asks
+	reader chan struct{}
 
 	// The rest belongs to whoever reads; net/http reads from one goroutine at a time.
 	line           []byte // the beginning of the line that is being read
@@ -35,6 +40,9 @@
 	// The answer's last bytes and a client's next ones may cross: for this time a connection that is being ended is
 	// read, and what comes is dropped, before its descriptor is let go. net/http waits as long where it waits at all.
 	lingerTime = 500 * time.Millisecond
+	// What may come behind a request in hand and is kept for net/http. Clients send one request at a time, so that
+	// only bad ones send more; the connection of one that sends more than this ends with its answer.
+	mostAhead = 16 << 10
 )
 
 type connKey struct{}
@@ -68,6 +76,14 @@
 }
 
 func (t *clientConn) Read(p []byte) (int, error) {
+	t.mu.Lock()
+	if n := copy(p, t.ahead); n > 0 {
+		t.ahead = t.ahead[n:]
+		t.mu.Unlock()
+		t.look(p[:n])
+		return n, nil
+	}
+	t.mu.Unlock()
 	n, err := t.TCPConn.Read(p)
 	t.mu.Lock()
 	if t.shut { // it was ended while this waited: nothing of it may be served
@@ -76,6 +92,10 @@
 	}
 	if n > 0 {
 		t.begun = true
+		if t.gone != nil && t.reader == nil { // net/http reads no further while it serves
+			t.reader = make(chan struct{})
+			go t.readAhead(t.gone, t.reader)
+		}
 	}
 	t.mu.Unlock()
 	t.look(p[:n])
@@ -87,18 +107,59 @@
 func (t *clientConn) begin() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.shut {
+	if t.shut || t.over {
 		return false
 	}
 	t.inHand, t.begun = true, false
 	return true
 }
 
-// whole notes that all of the request in hand has been read.
-func (t *clientConn) whole() {
+// watch notes that all of the request in hand has been read. From here on until unwatch, gone is called once the
+// client has closed its connection, whatever it sent before.
+func (t *clientConn) watch(gone func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.begun = false
+	t.begun, t.gone = false, gone
+}
+
+// unwatch ends watch before the answer is written, so that what a client sends on having its answer is left to
+// net/http. It reports whether the connection may be used for a next request.
+func (t *clientConn) unwatch() bool {
+	t.mu.Lock()
+	t.gone = nil
+	reader := t.reader
+	t.reader = nil
+	t.mu.Unlock()
+	if reader != nil {
+		t.SetReadDeadline(time.Unix(1, 0)) // net/http sets its own before it reads on
+		<-reader
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.over
+}
+
+// readAhead reads behind a request in hand until the client has gone or the request is answered.
+func (t *clientConn) readAhead(gone func(), done chan struct{}) {
+	defer close(done)
+	buf := make([]byte, 2<<10)
+	for {
+		n, err := t.TCPConn.Read(buf)
+		t.mu.Lock()
+		if len(t.ahead)+n > mostAhead {
+			t.over = true
+		}
+		if !t.over {
+			t.ahead = append(t.ahead, buf[:n]...)
+		}
+		t.mu.Unlock()
+		if err != nil {
+			if e, ok := err.(net.Error); !ok || !e.Timeout() {
+				gone()
+			}
+			return
+		}
+	}
 }
 
 // rest gives the connection back after an answer.
@@ -112,7 +173,7 @@
 // waits to be. A request that comes after is read by nobody, and its client sends it again elsewhere.
 func (t *clientConn) endResting() bool {
 	t.mu.Lock()
-	busy := t.inHand || t.begun || asked(t.TCPConn)
+	busy := t.inHand || t.begun || len(t.ahead) > 0 || asked(t.TCPConn)
 	if !busy {
 		t.shut = true
 	}
--- a/internal/front/crossings_test.go
+++ b/internal/front/crossings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -266,6 +267,115 @@
 	}
 }
 
+// TestGoneBehindBytes: a client sends bytes behind its request and goes: by a close, by half of one, by a reset, after
+// a few bytes, a whole further request or more than is kept. net/http reads one byte and then no further while it
+// serves, so that the lookup went on without its client.
+func TestGoneBehindBytes(t *testing.T) {
+	for _, behind := range []string{"", "P", post("/find", headers, parts), strings.Repeat("x", 1<<20)} {
+		for how, leave := range map[string]func(c *net.TCPConn){
+			"close":      func(c *net.TCPConn) { c.Close() },
+			"half-close": func(c *net.TCPConn) { c.CloseWrite() },
+			"reset":      func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+		} {
+			noticed := make(chan struct{}, 1)
+			f, _, address := start(t, 10, func(ctx context.Context, _ *pick.Lookup) pick.Verdict {
+				<-ctx.Done()
+				noticed <- struct{}{}
+				return pick.Verdict{Kind: pick.Left}
+			})
+			c := dial(t, address)
+			io.WriteString(c, post("/find", headers, parts))
+			<-f.took
+			io.WriteString(c, behind)
+			leave(c)
+			select {
+			case <-noticed:
+			case <-time.After(5 * time.Second):
+				t.Errorf("%s behind %d bytes: not noticed", how, len(behind))
+				c.Close()
+			}
+		}
+	}
+}
+
+// TestBehindBytesServed: what came behind a request in hand is served after it where it is one more request, however
+// the bytes came, and the connection ends with the answer where it is more than is kept.
+func TestBehindBytesServed(t *testing.T) {
+	gate := make(chan struct{})
+	f, s, address := start(t, 10, func(context.Context, *pick.Lookup) pick.Verdict {
+		<-gate
+		return pick.Verdict{Kind: pick.Aborted}
+	})
+	c := dial(t, address)
+	r := bufio.NewReader(c)
+	io.WriteString(c, post("/find", headers, parts))
+	<-f.took
+	next := post("/find", strings.Replace(headers, "a1", "a2", 1), parts)
+	for _, b := range []byte(next[:100]) {
+		c.Write([]byte{b})
+	}
+	s.mu.Lock()
+	client := s.inHand["a1"].client
+	s.mu.Unlock()
+	conn := connOf(client)
+	until(t, "bytes behind are read", func() bool {
+		conn.mu.Lock()
+		defer conn.mu.Unlock()
+		return len(conn.ahead) == 99 // net/http has the first
+	})
+	close(gate)
+	if resp := read(t, r); resp.StatusCode != 504 || resp.Close {
+		t.Errorf("the first is answered %d, close %v", resp.StatusCode, resp.Close)
+	}
+	io.WriteString(c, next[100:])
+	if resp := read(t, r); resp.StatusCode != 504 || resp.Close {
+		t.Errorf("the second is answered %d, close %v", resp.StatusCode, resp.Close)
+	}
+	if lk := <-f.took; lk.ID != "a2" {
+		t.Errorf("the second is %q", lk.ID)
+	}
+	if !bytes.Equal(conn.ahead, nil) {
+		t.Errorf("%d bytes left over", len(conn.ahead))
+	}
+}
+
+// TestTooMuchBehind: of a client that sends much behind its request no more than a bound is held, and it is told that
+// its connection ends.
+func TestTooMuchBehind(t *testing.T) {
+	gate := make(chan struct{})
+	f, s, address := start(t, 10, func(context.Context, *pick.Lookup) pick.Verdict {
+		<-gate
+		return pick.Verdict{Kind: pick.Aborted}
+	})
+	c := dial(t, address)
+	io.WriteString(c, post("/find", headers, parts))
+	<-f.took
+	s.mu.Lock()
+	conn := connOf(s.inHand["a1"].client)
+	s.mu.Unlock()
+	go func() {
+		io.WriteString(c, strings.Repeat(post("/find", headers, parts), 1000))
+	}()
+	until(t, "more than is kept", func() bool {
+		conn.mu.Lock()
+		defer conn.mu.Unlock()
+		return conn.over
+	})
+	conn.mu.Lock()
+	if len(conn.ahead) > mostAhead {
+		t.Errorf("%d bytes are held", len(conn.ahead))
+	}
+	conn.mu.Unlock()
+	close(gate)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != 504 || !resp.Close {
+		t.Errorf("answered %v, %v", resp, err)
+	}
+	if len(f.took) > 0 {
+		t.Error("what came behind was sent on")
+	}
+}
+
 // TestLingerBound: connections that are ended and whose clients do not close theirs hold no more descriptors than were
 // counted in; the oldest goes first.
 func TestLingerBound(t *testing.T) {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -243,21 +243,36 @@
 	if err := s.readBody(lk, text); err != nil {
 		return err
 	}
-	if conn != nil {
-		conn.whole()
-	}
-	h, err := s.hold(r.Context(), lk.ID)
+	v, kept, err := s.decide(r.Context(), lk, conn)
 	if err != nil {
 		return err
 	}
-	defer s.letGo(lk.ID, h)
-	v := s.picker.Pick(r.Context(), lk)
+	if !kept {
+		w.Header().Set("Connection", "close")
+	}
 	s.closing(w)
 	rc.SetWriteDeadline(until.Add(writeTimeout))
 	answer(w, v)
 	return nil
 }
 
+// decide waits for a lookup's verdict, or until its client has gone. It reports as well whether the connection may be
+// used for another request.
+func (s *Server) decide(ctx context.Context, lk *pick.Lookup, conn *clientConn) (v pick.Verdict, kept bool, err error) {
+	ctx, gone := context.WithCancel(ctx)
+	defer gone()
+	if conn != nil {
+		conn.watch(gone)
+		defer func() { kept = conn.unwatch() }()
+	}
+	h, err := s.hold(ctx, lk.ID)
+	if err != nil {
+		return v, true, err
+	}
+	defer s.letGo(lk.ID, h)
+	return s.picker.Pick(ctx, lk), true, nil
+}
+
 // hold takes a name. A client whose connection was closed under its request sends it once more and may be here
 // before the first has ended; it waits for that. Where the first is answered, its client is another one that
 // is still there, and this one has no right to its name.
