Discovery: slow agents are heard, fewer calls are open, an older list takes no drain back

Forced by an agent of the tests; each failed on the text before: - Every call for the whole list was given up after a second, its body included, so that an agent that takes longer or answers in pieces was never heard and the gatherer never ready (TestSlowAgent, TestPieces). Calls now go on beside new ones; an answer that has begun may go on while it moves. - An agent that answers nothing held ten calls and their descriptors, of the 16 that are kept for everything besides lookups (TestOpenCalls: five now, plus one that ends). - A whole list older than what was told before, of an agent that is behind or of another one after SIGHUP, put draining and gone servers back into service (TestOlder, TestMoveInSilence); an older change was applied (TestOlderChange). Of one process, running comes before draining and draining before its end; a change or a newer list of the same agent still takes a drain back. What is kept of servers that are gone is bounded. Found sound, with a test: watches that are silent or stall, answers cut at every kind of place, refusals, 503.

--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,8 +31,18 @@
 	again = 100 * time.Millisecond
 	// The pause after a call that failed: an agent that is back is to be found within the same time.
 	pause = 50 * time.Millisecond
+	// Calls that open a watch are out at once in this number, against descriptors and an agent that pile up. The
+	// oldest is left its full time, for an agent that is slow; the others make room for new ones.
+	mostOpening = 5
+	// An answer that has begun may pause for so long, and take so long in all: that of a watch, which is broken
+	// off for a new one, and that of a whole list, beside which others are asked for.
+	stall       = 500 * time.Millisecond
+	wholeChange = 3 * time.Second
+	wholeList   = 10 * time.Second
 
 	mostBody = 4 << 20
+	// What was told of servers that are gone by now is kept of so many, against a list that is behind.
+	mostGone = 1024
 )
 
 // Follower keeps the list and hands on what is new in it.
@@ -47,11 +58,22 @@
 
 	// The rest belongs to the goroutine that runs.
 	revision int64
-	whole    bool // a whole list has come from discovery itself
+	source   int      // counts the agents whose numbers of versions don't compare with each other's
+	opening  *opening // the calls for the whole list that are out
+	whole    bool     // a whole list has come from discovery itself, and the watch on it holds
 	ids      map[string]uint32
 	names    map[uint32]string
 	held     map[uint32]shardcall.Address
 	order    []uint32
+	told     map[string]fact
+	gone     []string // of told, those that are gone, by age
+}
+
+// fact is the last word on a server, and by whom.
+type fact struct {
+	started float64
+	state   gather.State
+	source  int
 }
 
 // New makes a follower of the discovery at that address. It calls tell with each piece of news and with the
@@ -60,7 +82,7 @@
 	return &Follower{base: base(address), moved: make(chan struct{}), tell: tell, asked: asked, log: log,
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, ResponseHeaderTimeout: watchWait + patience,
 			DisableCompression: true}},
-		ids: map[string]uint32{}, names: map[uint32]string{}, held: map[uint32]shardcall.Address{}}
+		ids: map[string]uint32{}, names: map[uint32]string{}, held: map[uint32]shardcall.Address{}, told: map[string]fact{}}
 }
 
 func base(address string) string { return "http://" + address + "/api/targets" }
@@ -86,20 +108,29 @@
 }
 
 // Take hands on a reply: the one that the platform gave at the start, or one that discovery gave.
+//
+// A whole list that may be older than what was told before, since another agent or one that is behind gives it, takes
+// no drain and no end back: of one process, running comes before draining and draining before its end.
 func (f *Follower) Take(r *Reply) {
 	list := gather.List{Full: r.Whole}
+	if r.Whole && r.Revision < f.revision {
+		f.source++
+	}
 	if r.Whole {
 		clear(f.held)
 		f.order = f.order[:0]
 	}
 	for _, m := range r.members {
+		started, state := f.settle(m, r.Whole)
+		if state == gather.Gone && r.Whole {
+			continue // as if the list lacked it
+		}
 		id, cell := f.number(m.ID), 0
 		if m.Cell != nil {
 			cell = *m.Cell
 		}
-		state := phases[m.Phase]
 		list.Servers = append(list.Servers, gather.Server{ID: id, Group: cell, Zone: m.Locality, Kind: m.Flavor,
-			Size: m.Size, State: state, Started: m.UpSince})
+			Size: m.Size, State: state, Started: started})
 		_, known := f.held[id]
 		switch {
 		case state == gather.Gone:
@@ -108,7 +139,7 @@
 		case !known:
 			f.order = append(f.order, id)
 		}
-		f.held[id] = shardcall.Address{ID: id, Name: m.ID, HostPort: m.HostPort, State: state, Started: m.UpSince}
+		f.held[id] = shardcall.Address{ID: id, Name: m.ID, HostPort: m.HostPort, State: state, Started: started}
 	}
 	for _, id := range f.ids { // what a whole list lacks has gone as well
 		if _, listed := f.held[id]; !listed {
@@ -119,8 +150,37 @@
 	f.tell(list, f.all())
 }
 
+// settle gives since when a server runs and its state, after a word on it and what was told before.
+func (f *Follower) settle(m member, whole bool) (started float64, state gather.State) {
+	state = phases[m.Phase]
+	before, known := f.told[m.ID]
+	switch behind := whole && known && before.source != f.source; {
+	case behind && m.UpSince < before.started && state != gather.Gone: // of a process before the one told of
+		return before.started, before.state
+	case behind && m.UpSince == before.started && state < before.state:
+		return before.started, before.state
+	}
+	f.told[m.ID] = fact{m.UpSince, state, f.source}
+	if state == gather.Gone {
+		if known && m.UpSince < before.started { // a change may name no more than the server
+			f.told[m.ID] = fact{before.started, state, f.source}
+		}
+		f.gone = append(f.gone, m.ID)
+		if len(f.gone) > mostGone {
+			if old := f.gone[0]; f.told[old].state == gather.Gone {
+				delete(f.told, old)
+			}
+			f.gone = slices.Delete(f.gone, 0, 1)
+		}
+	}
+	return m.UpSince, state
+}
+
 // forget drops a server that has gone, against keeping all that there ever were. Its number is free again.
 func (f *Follower) forget(id uint32) {
+	if name := f.names[id]; f.told[name].state != gather.Gone { // a list lacked it, which proves no end
+		delete(f.told, name)
+	}
 	delete(f.ids, f.names[id])
 	delete(f.names, id)
 	delete(f.held, id)
@@ -144,12 +204,17 @@
 // Run follows the list until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	down := false
+	defer func() { f.opening.end() }()
 	at, moved := f.place()
+	f.source++ // what the platform gave at the start is another's word
 	for ctx.Err() == nil {
 		select {
 		case <-moved:
 			at, moved = f.place()
 			f.whole, down = false, false
+			f.source++
+			f.opening.end()
+			f.opening = nil
 			f.http.CloseIdleConnections()
 		default:
 		}
@@ -158,8 +223,12 @@
 		if errors.Is(err, errMoved) {
 			continue
 		}
-		if err == nil && !f.whole && !r.Whole {
+		switch {
+		case err != nil:
+		case !f.whole && !r.Whole:
 			err = errors.New("a change, where the whole list was asked for")
+		case !r.Whole && r.Revision < f.revision:
+			err = fmt.Errorf("a change of version %d, where what is newer than %d was asked for", r.Revision, f.revision)
 		}
 		if err == nil {
 			if down {
@@ -235,43 +304,102 @@
 	if !f.whole {
 		return f.open(ctx, url)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+patience)
-	defer cancel()
-	return f.get(ctx, url+"?index="+strconv.FormatInt(f.revision, 10)+"&wait="+strconv.FormatInt(watchWait.Milliseconds(), 10))
+	return f.get(ctx, url+"?index="+strconv.FormatInt(f.revision, 10)+"&wait="+strconv.FormatInt(watchWait.Milliseconds(), 10), wholeChange, nil)
 }
 
-// open asks for the whole list until one of its calls is answered, for as long as patience lasts.
-func (f *Follower) open(ctx context.Context, url string) (*Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, patience)
-	defer cancel()
-	type end struct {
-		r   *Reply
-		err error
+// opening is the calls for the whole list that are out at one agent.
+type opening struct {
+	ctx  context.Context
+	stop context.CancelFunc
+	ends chan end
+	out  []*opened // by age
+}
+
+type opened struct {
+	stop  context.CancelFunc
+	begun atomic.Bool // its answer has
+}
+
+type end struct {
+	of  *opened
+	r   *Reply
+	err error
+}
+
+func (o *opening) end() {
+	if o != nil {
+		o.stop()
 	}
-	ends := make(chan end, patience/again+1) // room for all, so that none waits
-	ask := func() {
-		r, err := f.get(ctx, url)
-		ends <- end{r, err}
+}
+
+// ask makes one more call, in place of one that has waited for nothing where too many are out.
+func (o *opening) ask(f *Follower, url string) {
+	if len(o.out) >= mostOpening {
+		at := slices.IndexFunc(o.out[1:], func(c *opened) bool { return !c.begun.Load() })
+		if at < 0 {
+			return // answers are coming
+		}
+		o.out[1+at].stop()
+		o.out = slices.Delete(o.out, 1+at, 2+at)
 	}
+	ctx, stop := context.WithCancel(o.ctx)
+	c := &opened{stop: stop}
+	o.out = append(o.out, c)
+	go func() {
+		defer stop()
+		r, err := f.get(ctx, url, wholeList, &c.begun)
+		select {
+		case o.ends <- end{c, r, err}:
+		case <-o.ctx.Done():
+		}
+	}()
+}
+
+// open asks for the whole list until one of its calls is answered, for as long as patience lasts. Calls that are still
+// out then go on, for the next open to hear.
+func (f *Follower) open(ctx context.Context, url string) (*Reply, error) {
+	if f.opening == nil {
+		f.opening = &opening{ends: make(chan end)}
+		f.opening.ctx, f.opening.stop = context.WithCancel(context.WithoutCancel(ctx))
+	}
+	o := f.opening
+	limit := time.NewTimer(patience)
+	defer limit.Stop()
 	next := time.NewTicker(again)
 	defer next.Stop()
-	go ask()
-	for under := 1; ; {
+	o.ask(f, url)
+	for {
 		select {
-		case e := <-ends:
-			if under--; e.err == nil || under == 0 {
-				return e.r, e.err
+		case e := <-o.ends:
+			at := slices.Index(o.out, e.of)
+			if at >= 0 { // else it was given up for another
+				o.out = slices.Delete(o.out, at, at+1)
 			}
-		case <-next.C:
-			if ctx.Err() == nil {
-				under++
-				go ask()
+			if e.err == nil {
+				o.end()
+				f.opening = nil
+				return e.r, nil
+			}
+			if len(o.out) == 0 {
+				return nil, e.err
 			}
+		case <-next.C:
+			o.ask(f, url)
+		case <-limit.C:
+			return nil, errSilent
+		case <-ctx.Done():
+			return nil, ctx.Err()
 		}
 	}
 }
 
-func (f *Follower) get(ctx context.Context, url string) (*Reply, error) {
+var errSilent = errors.New("no answer")
+
+// get makes one call. Its answer has to begin within the time that the transport gives it, to go on without a stall and
+// to be whole within a limit.
+func (f *Follower) get(ctx context.Context, url string, limit time.Duration, begun *atomic.Bool) (*Reply, error) {
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -281,12 +409,39 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, mostBody))
-	if err != nil {
-		return nil, err
+	if begun != nil {
+		begun.Store(true)
 	}
-	if resp.StatusCode != http.StatusOK {
+	whole := time.AfterFunc(limit, func() { stop(errStalled) })
+	defer whole.Stop()
+	stalled := time.AfterFunc(stall, func() { stop(errStalled) })
+	defer stalled.Stop()
+	body, err := io.ReadAll(&moving{io.LimitReader(resp.Body, mostBody+1), stalled})
+	switch {
+	case err != nil && context.Cause(ctx) == errStalled:
+		return nil, fmt.Errorf("%w after %d bytes", errStalled, len(body))
+	case err != nil:
+		return nil, fmt.Errorf("answer cut after %d bytes: %w", len(body), err)
+	case len(body) > mostBody:
+		return nil, fmt.Errorf("answer of over %d bytes", mostBody)
+	case resp.StatusCode != http.StatusOK:
 		return nil, fmt.Errorf("discovery answers %s", resp.Status)
 	}
 	return Parse(body)
 }
+
+var errStalled = errors.New("answer stalled")
+
+// moving puts a timer off each time that something comes.
+type moving struct {
+	r     io.Reader
+	timer *time.Timer
+}
+
+func (m *moving) Read(p []byte) (int, error) {
+	n, err := m.r.Read(p)
+	if n > 0 {
+		m.timer.Reset(stall)
+	}
+	return n, err
+}
