A part call's bytes: none after a drain's grace, none before the last one is given up

Forced with servers that read no further (crossings_test.go of shardcall); each failed without its piece: - A frame of which not a byte had gone, as the server had stopped reading, went out whenever it read again: also long after it was told to drain, since the list was looked at only before the write (TestDrainWhileWriting). What is being written to a server that takes nothing new has half of the grace. - Where no second copy may be out, a call that was given up was reported as ended before the server could read of it, and its part went elsewhere: two out at once where the first server reads late (TestToldBeforeCalledAgain). Found sound, with a test: a connection that comes up after its calls' reason has ended (TestLateConnection).

--- a/internal/shardcall/conn.go
+++ b/internal/shardcall/conn.go
@@ -17,6 +17,7 @@
 type frame struct {
 	calls  []*attempt
 	giveUp string
+	of     *attempt // the call that is given up, if it ends with this
 	probe  *probe
 }
 
@@ -33,6 +34,7 @@
 	booked  int                 // queued, begun or written, not ended
 	quiet   time.Duration       // that calls were out before, all since the last frame came
 	since   time.Time           // since when calls are out, or the last frame came if that is later
+	until   time.Time           // by which the frame of calls that is being written has to be out
 	idle    *time.Timer
 	work    chan struct{}
 	retired bool
@@ -238,6 +240,11 @@
 		buf = appendGiveUp(buf, f.giveUp)
 		nc.SetWriteDeadline(time.Now().Add(c.pool.connectTime))
 		_, err := nc.Write(buf)
+		if f.of != nil && err == nil {
+			c.pool.mu.Lock()
+			c.pool.end(f.of, &Error{GivenUp, errGivenUp}, nil)
+			c.pool.mu.Unlock()
+		}
 		return buf, err
 	}
 	if f.probe != nil {
@@ -297,7 +304,8 @@
 		longest = max(longest, time.Duration(a.call.Timeout*1e6))
 	}
 	if len(live) > 0 {
-		c.nc.SetWriteDeadline(time.Now().Add(longest)) // under the lock, against undoing a stop
+		c.until = time.Now().Add(longest)
+		c.nc.SetWriteDeadline(c.until) // under the lock, against undoing a stop
 	}
 	return live
 }
--- /dev/null
+++ b/internal/shardcall/crossings_test.go
@@ -0,0 +1,196 @@
+package shardcall
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"yokeroute/gather"
+	"yokeroute/internal/pick"
+	"yokeroute/internal/standin"
+)
+
+// What comes between the decision on a part call and its bytes: each forced by a server that reads no further, or by a
+// gate at the setting up of its connection.
+
+// writing waits until a call's frame is being written, and gives it.
+func (d *desk) writing(t *testing.T) (a *attempt) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); a == nil; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no frame is being written")
+		}
+		d.mu.Lock()
+		for _, one := range d.attempts {
+			if one.on != nil && one.on.out[one.id] == one && !one.written {
+				a = one
+			}
+		}
+		d.mu.Unlock()
+	}
+	return a
+}
+
+// TestDrainWhileWriting: a server has stopped reading, so that not a byte of a frame has gone, when it is told to drain
+// or is gone. Nothing of the frame may go once it reads again; the call never ran.
+func TestDrainWhileWriting(t *testing.T) {
+	for _, state := range []gather.State{gather.Draining, gather.Gone} {
+		d := newDesk(t, "127.0.0.1:1", gather.Terms{"drain grace": 100.0, "i/effect": "idempotent"})
+		theirs := d.pipe()
+		d.ask(t.Context(), "a", 1, 60000)
+		d.writing(t)
+		d.list("127.0.0.1:1", state)
+		d.want(t, "a.0", gather.Unreached)
+		theirs.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		if n, _ := theirs.Read(make([]byte, 100)); n > 0 {
+			t.Errorf("state %v: %d bytes went after the grace", state, n)
+		}
+	}
+}
+
+// TestDrainPartWritten: bytes have gone when the drain is told, and the server reads on within the grace: the call is
+// one from before the drain, and is answered.
+func TestDrainPartWritten(t *testing.T) {
+	d := newDesk(t, "127.0.0.1:1", gather.Terms{"drain grace": 60000.0})
+	theirs := d.pipe()
+	done := d.ask(t.Context(), "a", 1, 60000)
+	head := make([]byte, 5)
+	io.ReadFull(theirs, head)
+	d.list("127.0.0.1:1", gather.Draining)
+	io.ReadFull(theirs, make([]byte, binary.LittleEndian.Uint32(head)-1))
+	(&standin.Conn{Conn: theirs}).Answer("a.0", "ok", "v")
+	if v := <-done; v.Kind != pick.Satisfied {
+		t.Errorf("verdict %+v", v)
+	}
+}
+
+// gated gives the server a connection that comes up once the gate is opened.
+func (d *desk) gated() (gate chan struct{}, theirs net.Conn) {
+	ours, theirs := net.Pipe()
+	gate = make(chan struct{})
+	d.dial = func(string) (net.Conn, error) {
+		<-gate
+		return ours, nil
+	}
+	return gate, theirs
+}
+
+// TestLateConnection: while a connection comes up its calls' reason ends: the client goes, the lookup's time is up, the
+// server drains, is gone, or is found elsewhere. Nothing goes on it when it is up.
+func TestLateConnection(t *testing.T) {
+	for name, end := range map[string]func(d *desk, leave func()){
+		"client gone": func(d *desk, leave func()) { leave() },
+		"time up":     func(d *desk, _ func()) {},
+		"draining":    func(d *desk, _ func()) { d.list("127.0.0.1:1", gather.Draining) },
+		"gone":        func(d *desk, _ func()) { d.list("127.0.0.1:1", gather.Gone) },
+		"moved":       func(d *desk, _ func()) { d.list("127.0.0.1:2", gather.Running) },
+	} {
+		d := newDesk(t, "127.0.0.1:1", nil)
+		gate, theirs := d.gated()
+		ctx, leave := context.WithCancel(t.Context())
+		done := d.ask(ctx, "a", 1, map[bool]float64{true: 50, false: 60000}[name == "time up"])
+		for n := 0; n == 0; time.Sleep(time.Millisecond) { // it waits for its connection
+			d.mu.Lock()
+			n = d.open
+			d.mu.Unlock()
+		}
+		end(d, leave)
+		switch name {
+		case "client gone", "time up":
+			<-done
+		default: // a lookup that runs on: its call is dropped at the write
+		}
+		close(gate)
+		theirs.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		if n, _ := theirs.Read(make([]byte, 100)); n > 0 {
+			t.Errorf("%s: %d bytes went", name, n)
+		}
+		if r := <-d.reports; !r.outcome.Unrun() {
+			t.Errorf("%s: ended as %v, and nothing went", name, r.outcome)
+		}
+		leave()
+	}
+}
+
+// TestToldBeforeCalledAgain: where no second copy may be out, a part that is given up ends for the decisions only when
+// its server could read that it is: a call elsewhere would be a second one out at once. It may still be answered.
+func TestToldBeforeCalledAgain(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		d := newDesk(t, "127.0.0.1:1", gather.Terms{"i/effect": "idempotent"})
+		theirs := d.pipe()
+		d.ask(t.Context(), "a", 1, 60000)
+		frame := func() {
+			head := make([]byte, 4)
+			io.ReadFull(theirs, head)
+			io.ReadFull(theirs, make([]byte, binary.LittleEndian.Uint32(head)))
+		}
+		frame()
+		d.mu.Lock()
+		var a *attempt
+		for _, one := range d.attempts {
+			a = one
+		}
+		for a == nil || !a.written {
+			d.mu.Unlock()
+			time.Sleep(time.Millisecond)
+			d.mu.Lock()
+		}
+		d.mu.Unlock()
+		d.abandon(a.call, GivenUp, errGivenUp)
+		d.abandon(a.call, GivenUp, errGivenUp) // once more changes nothing
+		if len(d.reports) > 0 {
+			t.Error("reported before the server could read of it")
+		}
+		if answered {
+			(&standin.Conn{Conn: theirs}).Answer("a.0", "ok", "v")
+			d.want(t, "a.0", gather.Answered)
+			frame()
+			continue
+		}
+		frame()
+		d.want(t, "a.0", gather.CalledOff)
+	}
+	// A server that does not read of it: its connection is ended, which gives the call up as well.
+	d := newDesk(t, "127.0.0.1:1", gather.Terms{"i/effect": "idempotent", "connect time-out": 50.0})
+	theirs := d.pipe()
+	d.ask(t.Context(), "a", 1, 60000)
+	head := make([]byte, 4)
+	io.ReadFull(theirs, head)
+	io.ReadFull(theirs, make([]byte, binary.LittleEndian.Uint32(head)))
+	var a *attempt
+	for written := false; !written; time.Sleep(time.Millisecond) {
+		d.mu.Lock()
+		for _, one := range d.attempts {
+			a, written = one, one.written
+		}
+		d.mu.Unlock()
+	}
+	d.abandon(a.call, GivenUp, errGivenUp)
+	d.want(t, "a.0", gather.Cut)
+	if n, err := theirs.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("%d bytes, %v: the connection is still open", n, err)
+	}
+}
+
+// TestGivenUpWhileWriting: a call is given up while its server reads no further, and its lookup ends later. The answer
+// must not wait for the write, which had all of the call's time.
+func TestGivenUpWhileWriting(t *testing.T) {
+	for _, copies := range []bool{false, true} {
+		d := newDesk(t, "127.0.0.1:1", gather.Terms{"i/effect": "idempotent", "second copies": copies})
+		theirs := d.pipe()
+		ctx, leave := context.WithCancel(t.Context())
+		done := d.ask(ctx, "a", 1, 60000)
+		io.ReadFull(theirs, make([]byte, 3))
+		d.abandon(d.writing(t).call, GivenUp, errGivenUp)
+		<-d.reports
+		leave()
+		select {
+		case <-done:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the lookup's end waits for the server")
+		}
+	}
+}
--- a/internal/shardcall/pool.go
+++ b/internal/shardcall/pool.go
@@ -43,6 +43,8 @@
 	silence     time.Duration
 	memory      time.Duration // for which an answer may still come after its part was given up
 	dial        func(address string) (net.Conn, error)
+	grace       time.Duration // after a drain is told, in which a first byte may still go
+	copies      bool          // two calls of a part may be out at once
 	perFrame    int
 	perConn     int
 	most        int // connections open at once
@@ -86,13 +88,14 @@
 	on      *conn
 	timer   *time.Timer
 	written bool
+	leaving bool // given up: it ends once the shard server has been told
 }
 
 // New makes a pool that keeps the limits in the terms, and to so many connections where it can.
 func New(terms gather.Terms, most int, reporter Reporter, log *logrus.Logger) *Pool {
 	span := func(name string) time.Duration { return time.Duration(terms.Num(name) * 1e6) }
 	p := &Pool{reporter: reporter, most: most, log: log, connectTime: span("connect time-out"),
-		perFrame: max(int(terms.Num("parts a call")), 1), perConn: int(terms.Num("streams")),
+		grace: span("drain grace"), copies: terms.Flag("second copies"), perFrame: max(int(terms.Num("parts a call")), 1), perConn: int(terms.Num("streams")),
 		servers: map[uint32]*server{}, attempts: map[*pick.Call]*attempt{}}
 	p.dial = func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, p.connectTime) }
 	// A connection that has stood idle for the time in the terms swallows what is written to it. It is closed
@@ -131,17 +134,34 @@
 			s.retire()
 		}
 		s.Address = a
+		p.hasten(s)
 		p.agree(s)
 	}
 	for id, s := range p.servers {
 		if !listed[id] || s.State == gather.Gone {
 			s.State = gather.Gone
+			p.hasten(s)
 			s.retire()
 			delete(p.servers, id)
 		}
 	}
 }
 
+// hasten bounds what is being written to a server that takes nothing new: where not even the first byte has gone,
+// since the server had stopped reading, it must not go once the grace is over. Half of that is left to it.
+func (p *Pool) hasten(s *server) {
+	if s.State == gather.Running {
+		return
+	}
+	until := time.Now().Add(p.grace / 2)
+	for _, a := range p.attempts {
+		if c := a.on; a.srv == s && c != nil && c.out[a.id] == a && !a.written && until.Before(c.until) {
+			c.until = until
+			c.nc.SetWriteDeadline(until)
+		}
+	}
+}
+
 // Carry does what a round has ordered. It does not wait for the network.
 func (p *Pool) Carry(o pick.Orders) {
 	p.mu.Lock()
@@ -252,6 +272,18 @@
 		return
 	}
 	c := a.on
+	if !a.written { // its lookup's answer waits for the write, and must not wait for a server that has stopped reading
+		c.nc.SetWriteDeadline(time.Now())
+	}
+	// Where no second copy may be out, its part is called again once this one's end is reported: not before the
+	// server could read of it, or the connection has ended.
+	if stage == GivenUp && !p.copies {
+		if !a.leaving {
+			a.leaving = true
+			c.enqueue(frame{giveUp: a.id, of: a})
+		}
+		return
+	}
 	p.end(a, &Error{stage, err}, nil)
 	c.enqueue(frame{giveUp: a.id})
 }
