A call's first byte looks at the window of marks again, a lookup at its client

A client that goes while its name is waited for had its lookup handed in (TestGoneBeforeTaken). TestDrainWhileWriting covers a server that a list lacks as well.

--- a/cmd/yokeroute/serve.go
+++ b/cmd/yokeroute/serve.go
@@ -19,8 +19,11 @@
 // run serves until SIGTERM and until all that was taken is answered, or until something fails. SIGHUP has the
 // configuration read again.
 func run(ctx context.Context, load func() (*config.Config, error), operators string, level string, out io.Writer) error {
+	// Before all else, against ending on one that comes early: once it listens, what came is owed an answer.
+	terminated, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP) // before all else, against ending on one that comes early
+	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
 	c, err := load()
 	if err != nil {
@@ -39,8 +42,6 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	terminated, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	s, err := service.New(c, own, log)
 	if err != nil {
 		return err
--- a/internal/front/crossings_test.go
+++ b/internal/front/crossings_test.go
@@ -298,6 +298,17 @@
 	}
 }
 
+// TestGoneBeforeTaken: a client has gone before its lookup is handed in. Nothing is decided for it.
+func TestGoneBeforeTaken(t *testing.T) {
+	f, s, _ := start(t, 10, aborted)
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	v, _, err := s.decide(ctx, &pick.Lookup{ID: "a"}, nil)
+	if v.Kind != pick.Left || err != nil || len(f.took) > 0 {
+		t.Errorf("verdict %+v, %v, %d taken", v, err, len(f.took))
+	}
+}
+
 // TestBehindBytesServed: what came behind a request in hand is served after it where it is one more request, however
 // the bytes came, and the connection ends with the answer where it is more than is kept.
 func TestBehindBytesServed(t *testing.T) {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -270,6 +270,9 @@
 		return v, true, err
 	}
 	defer s.letGo(lk.ID, h)
+	if ctx.Err() != nil { // gone before anything is decided
+		return pick.Verdict{Kind: pick.Left}, true, nil
+	}
 	return s.picker.Pick(ctx, lk), true, nil
 }
 
--- a/internal/pick/lookup.go
+++ b/internal/pick/lookup.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -155,8 +156,11 @@
 	since    uint64
 	onceOnly bool
 	ref      uint64 // of its part, by which the module knows it
+	before   []*Call // earlier calls of a fingerprinted part, and how long the mark of one that ran is known
+	window   float64
 	off      atomic.Bool
 	told     atomic.Bool
+	unrun    atomic.Bool // once told: it is proved that it never ran
 	begun    atomic.Bool
 }
 
@@ -212,7 +216,7 @@
 		return false
 	}
 	now := c.p.Now()
-	if lk.sealed || c.off.Load() || !c.allows(now) || c.further && !c.p.gate.pass(now) {
+	if lk.sealed || c.off.Load() || !c.known(now) || !c.allows(now) || c.further && !c.p.gate.pass(now) {
 		lk.gate.RUnlock()
 		return false
 	}
@@ -224,6 +228,17 @@
 	return true
 }
 
+// known reports whether a fingerprinted part's mark is still known where an earlier call of it may have run: the window
+// may end while the call waits for its connection or behind other frames.
+func (c *Call) known(now float64) bool {
+	for _, b := range c.before {
+		if !b.unrun.Load() && now > b.at+c.window-rounding {
+			return false
+		}
+	}
+	return true
+}
+
 // Begun reports whether its bytes have begun to go.
 func (c *Call) Begun() bool { return c.begun.Load() }
 
@@ -255,6 +270,9 @@
 		c.keys, c.segment, c.since, c.further = pc.Range, pc.Segment, pc.Since, c.further || pc.Called && len(s.lk.calls[s.part]) == 0
 		pc.Out++
 	}
+	if index := s.lk.root().Index; w.p.terms.Text(index+"/effect") == "fingerprinted" {
+		c.before, c.window = slices.Clone(s.lk.calls[s.part]), w.p.terms.Num(index+"/window")
+	}
 	for _, before := range s.lk.calls[s.part] {
 		c.alone = c.alone && before.told.Load()
 	}
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -152,6 +152,7 @@
 	if !c.told.CompareAndSwap(false, true) {
 		return
 	}
+	c.unrun.Store(outcome.Unrun())
 	e := ended{call: c, outcome: outcome, waited: p.Now() - c.at, text: text}
 	if c.First() && outcome == gather.Answered {
 		var err error
--- a/internal/shardcall/crossings_test.go
+++ b/internal/shardcall/crossings_test.go
@@ -34,19 +34,27 @@
 	return a
 }
 
-// TestDrainWhileWriting: a server has stopped reading, so that not a byte of a frame has gone, when it is told to drain
-// or is gone. Nothing of the frame may go once it reads again; the call never ran.
+// TestDrainWhileWriting: a server has stopped reading, so that not a byte of a frame has gone, when it is told to drain,
+// is gone or is missing from the list. Nothing of the frame may go once it reads again; the call never ran.
 func TestDrainWhileWriting(t *testing.T) {
-	for _, state := range []gather.State{gather.Draining, gather.Gone} {
+	for name, word := range map[string][]Address{"draining": {{ID: 7, HostPort: "127.0.0.1:1", State: gather.Draining}},
+		"gone": {{ID: 7, HostPort: "127.0.0.1:1", State: gather.Gone}}, "missing": nil} {
 		d := newDesk(t, "127.0.0.1:1", gather.Terms{"drain grace": 100.0, "i/effect": "idempotent"})
 		theirs := d.pipe()
 		d.ask(t.Context(), "a", 1, 60000)
 		d.writing(t)
-		d.list("127.0.0.1:1", state)
-		d.want(t, "a.0", gather.Unreached)
+		d.Follow(word)
+		select {
+		case r := <-d.reports:
+			if r.outcome != gather.Unreached {
+				t.Errorf("%s: ended as %v", name, r.outcome)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("%s: still being written", name)
+		}
 		theirs.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 		if n, _ := theirs.Read(make([]byte, 100)); n > 0 {
-			t.Errorf("state %v: %d bytes went after the grace", state, n)
+			t.Errorf("%s: %d bytes went after the grace", name, n)
 		}
 	}
 }
