Half requests don't hold places, who asks is served while idle clients fill the bound

Forced by a process with 96 descriptors, a discovery that is silent and 192 clients that say nothing, half a head or half a body and come again (TestDescriptorsFilled): of 30 lookups none was served, 13 closed unread and 17 nacked. Ruled out: descriptors of discovery and shard servers. Change: under pressure a request that is not whole after 0.2 s goes as silence does, then the oldest silent one; the nack goes by requests arriving or in hand. Descriptors that ended connections still hold are counted in, and 20 in place of 16 are kept for the process (the runtime holds two of its own; accept once ran into the limit).

Found sound, with tests of processes: SIGTERM twice and SIGHUP while leaving with a server that hangs (TestSignalsWhileLeaving), a dozen starts before a discovery that is silent, refuses and then answers in pieces (TestManyStarts).

--- /dev/null
+++ b/cmd/yokeroute/crossings_test.go
@@ -0,0 +1,353 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"yokeroute/internal/processes"
+	"yokeroute/internal/standin"
+)
+
+// The whole program as a process of its own: signals at every moment, descriptors that run out, many starts at once.
+
+// program is one process of the gatherer.
+type program struct {
+	*exec.Cmd
+	address string
+	log     *bytes.Buffer
+	ended   chan error
+}
+
+// launch starts the program with so many descriptors; it is killed with the test at the latest.
+func launch(t *testing.T, binary, config, address string, descriptors int) *program {
+	t.Helper()
+	p := &program{address: address, log: &bytes.Buffer{}, ended: make(chan error, 1)}
+	p.Cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec \"$0\" serve --config \"$1\"", descriptors), binary, config)
+	p.Stderr = p.log
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.ended <- p.Wait() }()
+	t.Cleanup(func() { p.Process.Kill() })
+	return p
+}
+
+func (p *program) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.Process.Signal(s); err != nil {
+		t.Error(err)
+	}
+}
+
+// left wants the process to end by itself, with nothing wrong, within a time.
+func (p *program) left(t *testing.T, within time.Duration) {
+	t.Helper()
+	select {
+	case err := <-p.ended:
+		if err != nil || !strings.Contains(p.log.String(), "msg=left") {
+			t.Errorf("ended with %v; its log: %s", err, p.log)
+		}
+	case <-time.After(within):
+		t.Errorf("has not ended after %v", within)
+		p.Process.Kill()
+		<-p.ended
+		t.Log(p.log)
+	}
+}
+
+// get asks for a path on a connection of its own; 0 where there was no answer.
+func (p *program) get(path string) int {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}
+	resp, err := client.Get("http://" + p.address + path)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+func waitFor(t *testing.T, what string, within time.Duration, holds func() bool) time.Duration {
+	t.Helper()
+	from := time.Now()
+	for !holds() {
+		if time.Since(from) > within {
+			t.Fatalf("not within %v: %s", within, what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return time.Since(from)
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	binary, err := processes.BuildPlain("yokeroute")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return binary
+}
+
+// TestSignalsAtStart: a signal comes while the configuration is still being read, which the test holds up. SIGTERM
+// ended the process on the spot then; it has to leave as it does later. SIGHUP changes nothing.
+func TestSignalsAtStart(t *testing.T) {
+	shard := standin.NewShard(t)
+	agent, _ := newAgent(t, shard)
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP} {
+		address := freeAddress(t)
+		text, err := os.ReadFile(configure(t, address, agent))
+		if err != nil {
+			t.Fatal(err)
+		}
+		pipe := filepath.Join(t.TempDir(), "config.json")
+		if err := syscall.Mkfifo(pipe, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p := launch(t, build(t), pipe, address, 256)
+		w, err := os.OpenFile(pipe, os.O_WRONLY, 0) // waits for the process to open it
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.signal(t, s)
+		w.Write(text)
+		w.Close()
+		if s == syscall.SIGHUP {
+			go func() { // the file is read once more
+				if w, err := os.OpenFile(pipe, os.O_WRONLY, 0); err == nil {
+					w.Write(text)
+					w.Close()
+				}
+			}()
+			waitFor(t, "ready", 10*time.Second, func() bool { return p.get("/-/ready") == 200 })
+			p.signal(t, syscall.SIGTERM)
+		}
+		p.left(t, 10*time.Second)
+	}
+}
+
+// TestSignalsWhileLeaving: SIGTERM comes twice and SIGHUP between, with a lookup held and a server that hangs. The
+// lookup that is answered is answered, the one that hangs gets its final answer in its time, and so does one that
+// comes on a connection that was there before; the process ends by itself.
+func TestSignalsWhileLeaving(t *testing.T) {
+	shard := standin.NewShard(t)
+	agent, _ := newAgent(t, shard)
+	address := freeAddress(t)
+	p := launch(t, build(t), configure(t, address, agent), address, 256)
+	waitFor(t, "ready", 10*time.Second, func() bool { return p.get("/-/ready") == 200 })
+	early, err := net.Dial("tcp", address) // says nothing yet
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer early.Close()
+	held, hung := ask(address, "a"), ask(address, "b")
+	conn := shard.Take()
+	for parts := 0; parts < 2; { // in one frame or in two
+		parts += len(conn.Read().Parts)
+	}
+	waitFor(t, "accepted", 5*time.Second, func() bool { return p.get("/-/healthy") == 200 }) // after early, in order
+	p.signal(t, syscall.SIGTERM)
+	waitFor(t, "leaving", 5*time.Second, func() bool { return p.get("/-/ready") == 503 })
+	p.signal(t, syscall.SIGHUP)
+	p.signal(t, syscall.SIGTERM)
+	conn.Answer("a.2", "ok", "5be2")
+	if got := <-held; got != served {
+		t.Errorf("answer %s", got)
+	}
+	waitFor(t, "no longer listening", 5*time.Second, func() bool {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	body := `{"shards":[{"shard":2,"weight":1}],"q":"c41e"}`
+	fmt.Fprintf(early, "POST /find HTTP/1.1\r\nHost: h\r\nX-Request-ID: c\r\nX-Timeout-Ms: 1000\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	if got := <-hung; got != "nacked\n" && got != "aborted\n" {
+		t.Errorf("the one that hangs: %q", got)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(early), nil)
+	if err != nil || resp.StatusCode != 503 && resp.StatusCode != 504 || !resp.Close {
+		t.Errorf("the one that came late: %v, %v", resp, err)
+	}
+	p.left(t, 10*time.Second)
+}
+
+// TestDescriptorsFilled: clients that say nothing, or half of something, hold all the connections they can get while
+// discovery is silent. It is found when it speaks again, servers are reached, readiness is answered meanwhile, memory
+// stays in its limit, and who asks something is served while the others go on.
+func TestDescriptorsFilled(t *testing.T) {
+	const sockets, memory = 96, 64
+	shard := standin.NewShard(t)
+	go func() {
+		for {
+			nc, err := shard.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				var head [4]byte
+				for {
+					if _, err := io.ReadFull(nc, head[:]); err != nil {
+						return
+					}
+					frame := make([]byte, int(head[0])|int(head[1])<<8)
+					if _, err := io.ReadFull(nc, frame); err != nil {
+						return
+					}
+					if id, _, found := strings.Cut(string(frame[1:]), " "); found && frame[0] == 'Q' {
+						text := "A" + id + " ok 1 -\n5be2"
+						nc.Write(append([]byte{byte(len(text)), 0, 0, 0}, text...))
+					}
+				}
+			}()
+		}
+	}()
+	var speaks atomic.Bool
+	agent := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !speaks.Load() || r.URL.RawQuery != "" {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprintf(w, `{"revision":1,"complete":true,"members":[{"id":"s-1","host_port":%q,"cell":0,"phase":"in_service"}]}`, shard.Address())
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer agent.Close()
+	go agent.Serve(l)
+	address := freeAddress(t)
+	path := configure(t, address, l.Addr().String())
+	text, _ := os.ReadFile(path)
+	text = bytes.Replace(text, []byte(`"seed"`), fmt.Appendf(nil, `"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"seed"`, memory, sockets), 1)
+	os.WriteFile(path, text, 0o600)
+	p := launch(t, build(t), path, address, sockets)
+	waitFor(t, "healthy", 10*time.Second, func() bool { return p.get("/-/healthy") == 200 })
+
+	stop := make(chan struct{})
+	var fill sync.WaitGroup
+	for i := range 2 * sockets {
+		fill.Go(func() {
+			say := []string{"", "", "POST /find HT", "POST /find HTTP/1.1\r\nX-Request-ID: half\r\nContent-Length: 500\r\nX-Timeout-Ms: 60000\r\n\r\n{"}[i%4]
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				c, err := net.Dial("tcp", address)
+				if err != nil {
+					time.Sleep(20 * time.Millisecond)
+					continue
+				}
+				io.WriteString(c, say)
+				if i%8 == 1 {
+					c.(*net.TCPConn).CloseWrite()
+				}
+				c.SetReadDeadline(time.Now().Add(5 * time.Second))
+				io.Copy(io.Discard, c) // until it is ended
+				c.Close()
+				time.Sleep(20 * time.Millisecond) // and comes again soon
+			}
+		})
+	}
+	defer fill.Wait()
+	defer close(stop)
+	descriptors := func() int {
+		open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Process.Pid))
+		return len(open)
+	}
+	waitFor(t, "filled", 10*time.Second, func() bool { return descriptors() > sockets/2 })
+	waitFor(t, "readiness answered", 5*time.Second, func() bool { return p.get("/-/ready") == 503 })
+	speaks.Store(true)
+	waitFor(t, "ready once discovery speaks", 5*time.Second, func() bool { return p.get("/-/ready") == 200 })
+	answers := map[string]int{}
+	for i := range 30 {
+		answers[<-ask(address, "q"+strconv.Itoa(i))]++
+	}
+	if answers[served] < 20 { // some connections are closed at the bound before they have asked
+		t.Errorf("of 30 lookups: %v", answers)
+	}
+	if n := descriptors(); n > sockets {
+		t.Errorf("%d descriptors of %d", n, sockets)
+	}
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Process.Pid))
+	for line := range strings.Lines(string(status)) {
+		if kb, found := strings.CutPrefix(line, "VmRSS:"); found {
+			if n, _ := strconv.Atoi(strings.Fields(kb)[0]); n > memory<<10 {
+				t.Errorf("%d kB of %d MB", n, memory)
+			}
+		}
+	}
+	p.signal(t, syscall.SIGTERM)
+	p.left(t, 10*time.Second)
+	if strings.Contains(p.log.String(), "too many open files") {
+		t.Errorf("ran out of descriptors: %s", p.log)
+	}
+}
+
+// TestManyStarts: a dozen processes start at once before a discovery that is silent at first, then refuses, then answers
+// late and in pieces. Nine in ten are ready within 10 s and all within 30; here all are within 10.
+func TestManyStarts(t *testing.T) {
+	shard := standin.NewShard(t)
+	const many = 12
+	var calls atomic.Int32
+	agent := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := calls.Add(1)
+		switch {
+		case n <= 5*many || r.URL.RawQuery != "":
+			<-r.Context().Done()
+		case n <= 10*many:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			text := fmt.Sprintf(`{"revision":1,"complete":true,"members":[{"id":"s-1","host_port":%q,"cell":0,"phase":"in_service"}]}`, shard.Address())
+			for len(text) > 0 { // for longer than the calls beside it wait
+				piece := min(len(text), 8)
+				io.WriteString(w, text[:piece])
+				w.(http.Flusher).Flush()
+				text = text[piece:]
+				select {
+				case <-time.After(100 * time.Millisecond):
+				case <-r.Context().Done():
+					return
+				}
+			}
+		}
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer agent.Close()
+	go agent.Serve(l)
+	var all []*program
+	for range many {
+		address := freeAddress(t)
+		all = append(all, launch(t, build(t), configure(t, address, l.Addr().String()), address, 256))
+	}
+	from := time.Now()
+	for _, p := range all {
+		waitFor(t, "ready", 10*time.Second-time.Since(from), func() bool { return p.get("/-/ready") == 200 })
+	}
+	for _, p := range all {
+		p.signal(t, syscall.SIGTERM)
+	}
+	for _, p := range all {
+		p.left(t, 10*time.Second)
+	}
+}
--- a/internal/front/clientconn.go
+++ b/internal/front/clientconn.go
@@ -21,9 +21,10 @@
 	twoLengths atomic.Bool // for good: nothing that comes after may be served
 
 	mu     sync.Mutex
-	inHand bool // a request is being served; until it is answered the connection is not ours to end
-	begun  bool // bytes have been read that belong to no request in hand
-	shut   bool // ended by us: whatever is still read is nobody's request
+	inHand bool      // a request is being served; until it is answered the connection is not ours to end
+	whole  bool      // and all of it has been read
+	since  time.Time // a request has begun to arrive that is not whole yet, or one behind that in hand; else zero
+	shut   bool      // ended by us: whatever is still read is nobody's request
 	linger time.Duration
 	conns  *conns // told when it lets go of its descriptor; nil in tests
 	ahead  []byte // read while a request was in hand, for net/http
@@ -91,7 +92,9 @@
 		return 0, net.ErrClosed
 	}
 	if n > 0 {
-		t.begun = true
+		if t.since.IsZero() {
+			t.since = time.Now()
+		}
 		if t.gone != nil && t.reader == nil { // net/http reads no further while it serves
 			t.reader = make(chan struct{})
 			go t.readAhead(t.gone, t.reader)
@@ -110,7 +113,7 @@
 	if t.shut || t.over {
 		return false
 	}
-	t.inHand, t.begun = true, false
+	t.inHand = true
 	return true
 }
 
@@ -119,7 +122,7 @@
 func (t *clientConn) watch(gone func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.begun, t.gone = false, gone
+	t.whole, t.since, t.gone = true, time.Time{}, gone
 }
 
 // unwatch ends watch before the answer is written, so that what a client sends on having its answer is left to
@@ -166,22 +169,35 @@
 func (t *clientConn) rest() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.inHand = false
+	if !t.whole { // answered without having been read to its end
+		t.since = time.Time{}
+	}
+	t.inHand, t.whole = false, false
 }
 
 // endResting ends the connection if nothing is asked on it: no request is in hand, and no byte of one has been read or
 // waits to be. A request that comes after is read by nobody, and its client sends it again elsewhere.
 func (t *clientConn) endResting() bool {
 	t.mu.Lock()
-	busy := t.inHand || t.begun || len(t.ahead) > 0 || asked(t.TCPConn)
-	if !busy {
-		t.shut = true
-	}
+	ends := !t.inHand && t.since.IsZero() && len(t.ahead) == 0 && !asked(t.TCPConn)
+	return t.end(ends)
+}
+
+// endSlow ends the connection if a request has been arriving on it since before a time and is not whole: nobody has
+// taken it yet.
+func (t *clientConn) endSlow(before time.Time) bool {
+	t.mu.Lock()
+	return t.end(!t.whole && !t.since.IsZero() && t.since.Before(before))
+}
+
+// end lets go of the lock, and of the connection where it ends.
+func (t *clientConn) end(ends bool) bool {
+	t.shut = t.shut || ends
 	t.mu.Unlock()
-	if !busy {
+	if ends {
 		t.Close()
 	}
-	return !busy
+	return ends
 }
 
 // Close ends the connection. It says so to the client first and lets go of the descriptor once that has closed too, or
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -13,7 +13,7 @@
 // conns keeps the clients' connections within their bound, so that shard servers can still be reached and no
 // descriptor is missing for the next client. Where there are too many it closes one on which nothing is asked:
 // first one that has had its time to say something and did not, then one that has asked before, the longest
-// first, and one that is new only after them. None is left waiting unaccepted: what is written to such a one
+// first, and one that is new only after them; one that sends half a request goes as one that says nothing. None is left waiting unaccepted: what is written to such a one
 // counts as taken.
 type conns struct {
 	most int // on which something may be asked
@@ -26,6 +26,7 @@
 	open   int
 	fresh  *list.List // have not asked yet, by age
 	idle   *list.List // have, by the end of their last request
+	active *list.List // a request is arriving or in hand
 	at     map[net.Conn]place
 	closed map[net.Conn]bool // by us, and no longer counted, though net/http has not noticed yet
 
@@ -48,7 +49,7 @@
 
 func newConns(most, kept int) *conns {
 	spare := most/8 + 1
-	return &conns{most: most, kept: kept, full: most + spare, spare: spare, fresh: list.New(), idle: list.New(),
+	return &conns{most: most, kept: kept, full: most + spare, spare: spare, fresh: list.New(), idle: list.New(), active: list.New(),
 		at: map[net.Conn]place{}, closed: map[net.Conn]bool{}}
 }
 
@@ -64,6 +65,10 @@
 	case http.StateNew:
 		c.open++
 		c.at[conn] = place{c.fresh, c.fresh.PushBack(conn), time.Now()}
+	case http.StateActive:
+		if !c.closed[conn] {
+			c.at[conn] = place{c.active, c.active.PushBack(conn), time.Now()}
+		}
 	case http.StateIdle:
 		if cc, ok := conn.(*clientConn); ok {
 			cc.rest()
@@ -90,9 +95,11 @@
 	if c.open <= c.most {
 		return
 	}
-	switch {
-	case c.makeRoom(c.fresh, now.Add(-firstByteTimeout)), c.makeRoom(c.idle, now), c.makeRoom(c.fresh, now.Add(-firstByteTimeout/10)):
-	case state == http.StateNew && c.open > c.full: // whatever it has sent
+	switch slow := now.Add(-firstByteTimeout); {
+	case c.makeRoom(c.fresh, slow), c.endSlow(slow), c.makeRoom(c.idle, now), c.makeRoom(c.fresh, now.Add(-firstByteTimeout/10)):
+	case c.open <= c.full:
+	case c.makeRoom(c.fresh, now): // the oldest that has not said a word; who asks does so in the moment it comes
+	case state == http.StateNew: // whatever it has sent
 		conn.Close()
 		c.drop(conn)
 	}
@@ -113,6 +120,20 @@
 	return false
 }
 
+// endSlow closes a connection on which a request has been arriving since before that time and is not whole, against
+// clients that send half of one and hold their place.
+func (c *conns) endSlow(before time.Time) bool {
+	for _, in := range []*list.List{c.fresh, c.active, c.idle} {
+		for e := in.Front(); e != nil; e = e.Next() {
+			if cc, ok := e.Value.(*clientConn); ok && cc.endSlow(before) {
+				c.drop(cc)
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // quit ends each connection once it rests; those that have not asked yet may still do so. It gives what is closed once
 // none is open.
 func (c *conns) quit() <-chan struct{} {
@@ -218,9 +239,10 @@
 	return n > 0
 }
 
-// crowded reports whether there are too many though nothing could be closed.
+// crowded reports whether too many requests are arriving or in hand. Connections that have not got so far do not count:
+// where they fill the bound, who asks is served all the same.
 func (c *conns) crowded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.open > c.most
+	return c.active.Len() > c.most
 }
--- a/internal/front/crossings_test.go
+++ b/internal/front/crossings_test.go
@@ -97,7 +97,7 @@
 	until(t, "half a line is read", func() bool {
 		conn.mu.Lock()
 		defer conn.mu.Unlock()
-		return conn.begun
+		return !conn.since.IsZero()
 	})
 	done := make(chan error, 1)
 	go func() { done <- s.Shutdown(t.Context()) }()
--- a/internal/pick/lookup.go
+++ b/internal/pick/lookup.go
@@ -155,7 +155,7 @@
 	shard    int
 	since    uint64
 	onceOnly bool
-	ref      uint64 // of its part, by which the module knows it
+	ref      uint64  // of its part, by which the module knows it
 	before   []*Call // earlier calls of a fingerprinted part, and how long the mark of one that ran is known
 	window   float64
 	off      atomic.Bool
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -31,8 +31,9 @@
 	"yokeroute/logic/owners"
 )
 
-// ownSockets are descriptors besides connections of lookups: standard streams, listener, poller, discovery.
-const ownSockets = 16
+// ownSockets are descriptors besides connections of lookups: standard streams, listener, poller, the runtime's own,
+// calls to discovery while it is silent and the ends of those before them, a file that is read again.
+const ownSockets = 20
 
 // Service is one gatherer.
 type Service struct {
@@ -112,7 +113,7 @@
 	// many that were ended may still hold theirs.
 	// They get a third of all for requests; of those that have asked a quarter is kept, so that new ones find room.
 	rest := c.Limits.Sockets - ownSockets
-	clients := (rest - rest/4) * 8 / 10
+	clients := (rest - rest/4 - 2) * 8 / 10
 	s.pool = shardcall.New(c.Terms, rest/4, s.Picker, log)
 	marked, err := own.Fit(c.Terms)
 	if err != nil {
