Late lookups end before the platform's kill; settings without limits leave a gatherer that works

Settings that tell no time for a connection left none for the word that a part is given up either, so that the connection ended with every part that was (TestNoConnectTime); settings that tell no deadline had a shutdown of 0.6 s.

--- a/internal/front/crossings_test.go
+++ b/internal/front/crossings_test.go
@@ -184,6 +184,7 @@
 // was read and dropped without a word; it has to be answered, within the time that is left of the shutdown.
 func TestShutdownNew(t *testing.T) {
 	f, s, address := start(t, 10, aborted)
+	s.longest = time.Hour // whatever the settings say, the process may be killed after 3 s
 	c := dial(t, address)
 	until(t, "accepted", func() bool {
 		s.conns.mu.Lock()
@@ -199,7 +200,7 @@
 	}
 	c.Close()
 	lk := <-f.took
-	if end := f.Now() + float64(s.longest.Milliseconds()); lk.GiveUpAt > end {
+	if end := f.Now() + float64(killTime.Milliseconds()); lk.GiveUpAt > end {
 		t.Errorf("may take until %v, the process ends at %v", lk.GiveUpAt, end)
 	}
 	if err := <-done; err != nil {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -28,6 +28,9 @@
 const (
 	// After the platform says that the end comes, new connections go on coming for less than this.
 	lameDuck = 600 * time.Millisecond
+	// After the end is told the process is killed in this time and the lame-duck one, or later; sooner by the settings
+	// where no lookup takes so long. What came before the lame-duck time was over may be found unanswered by that.
+	killTime = 3 * time.Second
 	// A client that asks nothing, or takes longer than this for the head of a request, is cut off. What can't
 	// be read is owed an error or a close within 3 s of connecting, so that a body has what is left of them.
 	readHeaderTimeout = 1800 * time.Millisecond
@@ -53,8 +56,8 @@
 	marked    map[string]bool // indexes whose lookups carry a mark that the protocol cannot pass on
 	conns     *conns
 	leaving   atomic.Bool
-	end       atomic.Pointer[time.Time] // by which all is answered, once leaving
-	admin     map[string]http.Handler   // by path, for operators
+	late      atomic.Pointer[late]    // once leaving
+	admin     map[string]http.Handler // by path, for operators
 
 	served   chan struct{} // closed once Serve has returned
 	mu       sync.Mutex
@@ -62,6 +65,9 @@
 	inHand   map[string]*holder // names of the lookups held, against two that could not be told apart
 }
 
+// late is from when on requests come too late in a shutdown to be given their own time, and by when they are answered.
+type late struct{ from, end time.Time }
+
 // holder is the request that holds a name.
 type holder struct {
 	client context.Context
@@ -81,6 +87,9 @@
 			log.WithField("index", name).Warn("fingerprinted: its lookups are turned away, their mark cannot be passed on")
 		}
 	}
+	if s.longest == 0 { // none is told
+		s.longest = killTime
+	}
 	errorLog := log.WriterLevel(logrus.WarnLevel) // what net/http has to say is of its listener
 	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: mostHeaders,
 		IdleTimeout: idleTimeout,
@@ -132,8 +141,7 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, lameDuck+s.longest)
 	defer cancel()
-	end, _ := ctx.Deadline()
-	s.end.Store(&end)
+	s.late.Store(&late{from: time.Now().Add(lameDuck), end: time.Now().Add(lameDuck + min(s.longest, killTime))})
 	s.leaving.Store(true)
 	s.conns.quit() // those that rest; each other one is told with its answer
 	select {
@@ -223,8 +231,8 @@
 	if err != nil {
 		return err
 	}
-	if end := s.end.Load(); end != nil { // what comes late is answered before the end as well
-		lk.GiveUpAt = min(lk.GiveUpAt, now+float64(time.Until(*end)-lastAnswers)/1e6)
+	if l := s.late.Load(); l != nil && time.Now().After(l.from) {
+		lk.GiveUpAt = min(lk.GiveUpAt, now+float64(time.Until(l.end)-lastAnswers)/1e6)
 	}
 	// A client that sends or reads slowly holds its connection no longer than its own time.
 	until := time.Now().Add(time.Duration((lk.GiveUpAt - now) * 1e6))
--- a/internal/shardcall/crossings_test.go
+++ b/internal/shardcall/crossings_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"io"
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -202,3 +203,75 @@
 		}
 	}
 }
+
+// TestEveryByte: the connection ends after each number of a frame's bytes. Before the last one the frame was never used;
+// from it on it may have been.
+func TestEveryByte(t *testing.T) {
+	length := math.MaxInt
+	for n := 0; n <= length; n++ {
+		d := newDesk(t, "127.0.0.1:1", gather.Terms{"i/effect": "idempotent"})
+		theirs := d.pipe()
+		done := d.ask(t.Context(), "a", 1, 60000)
+		frame := make([]byte, n)
+		io.ReadFull(theirs, frame)
+		if n >= 4 {
+			length = 4 + int(binary.LittleEndian.Uint32(frame))
+		}
+		theirs.Close()
+		d.want(t, "a.0", map[bool]gather.Outcome{true: gather.Cut, false: gather.Unreached}[n == length])
+		if v := <-done; v.Kind == pick.Satisfied {
+			t.Errorf("after %d bytes: %+v", n, v)
+		}
+	}
+}
+
+// TestNeverEnding: an answer begins and goes on byte by byte without an end. Its part ends with its time, and the next
+// call gets another connection; nothing of it is served.
+func TestNeverEnding(t *testing.T) {
+	shard := standin.NewShard(t)
+	d := newDesk(t, shard.Address(), gather.Terms{"i/soft deadline": 100.0})
+	done := d.ask(t.Context(), "a", 1, 200)
+	conn := shard.Take()
+	conn.Read()
+	io.WriteString(conn.Conn, "\x00\x02\x00\x00Aa.0 ok 1 -\n")
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+				io.WriteString(conn.Conn, "v")
+			}
+		}
+	}()
+	if v := <-done; v.Kind != pick.Aborted {
+		t.Errorf("verdict %+v", v)
+	}
+	done = d.ask(t.Context(), "b", 1, 5000)
+	next := shard.Take()
+	if f := next.Read(); len(f.Parts) != 1 || f.Parts[0].ID != "b.0" {
+		t.Errorf("frame %+v", f)
+	}
+	next.Answer("b.0", "ok", "w")
+	if v := <-done; v.Kind != pick.Satisfied {
+		t.Errorf("verdict %+v", v)
+	}
+}
+
+// TestNoConnectTime: terms that tell no time for a connection still leave one for a word that a part is given up; it had
+// none, and the connection ended with every part that was.
+func TestNoConnectTime(t *testing.T) {
+	shard := standin.NewShard(t)
+	d := newDesk(t, shard.Address(), gather.Terms{"connect time-out": 0.0, "i/effect": "idempotent"})
+	ctx, leave := context.WithCancel(t.Context())
+	done := d.ask(ctx, "a", 1, 60000)
+	conn := shard.Take()
+	conn.Read()
+	leave()
+	<-done
+	if f := conn.Read(); f.Letter != 'X' || f.Body != "a.0" {
+		t.Errorf("frame %+v", f)
+	}
+}
--- a/internal/shardcall/pool.go
+++ b/internal/shardcall/pool.go
@@ -91,6 +91,10 @@
 	leaving bool // given up: it ends once the shard server has been told
 }
 
+// defaultConnect is how long a connection may take to come up, and a word that a part is given up to be written, where the
+// terms tell nothing of it: without it the one would wait for ever and the other not at all.
+const defaultConnect = time.Second
+
 // New makes a pool that keeps the limits in the terms, and to so many connections where it can.
 func New(terms gather.Terms, most int, reporter Reporter, log *logrus.Logger) *Pool {
 	span := func(name string) time.Duration { return time.Duration(terms.Num(name) * 1e6) }
@@ -98,6 +102,9 @@
 		grace: span("drain grace"), copies: terms.Flag("second copies"), perFrame: max(int(terms.Num("parts a call")), 1), perConn: int(terms.Num("streams")),
 		servers: map[uint32]*server{}, attempts: map[*pick.Call]*attempt{}}
 	p.dial = func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, p.connectTime) }
+	if p.connectTime == 0 {
+		p.connectTime = defaultConnect
+	}
 	// A connection that has stood idle for the time in the terms swallows what is written to it. It is closed
 	// before that by the time that setting one up may take, against a call that crosses the other side's close.
 	p.idleTime = math.MaxInt64
