Standard names: retry budget, long poll, hedged calls for the list

pick's gate is a retry budget, the wait of a watch a long poll, and the call for the list that is made again beside those before it a hedged request. No change of behaviour.

--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -21,16 +21,16 @@
 const (
 	// A watch that brings no news is answered after this time. What it does not bring counts as told two
 	// seconds after it, so that it is short; asking costs the agent on the own machine nothing.
-	watchWait = 2 * time.Second
+	longPoll = 2 * time.Second
 	// An agent that has not answered by then is silent.
 	patience = time.Second
 	// A call that an agent takes while it is silent is never answered, not even once it speaks again; what it
 	// has by then counts as told at once. So the call that opens a watch is made again after this time, beside
 	// the ones before it, which an agent that is slow may still answer. Under half of the least grace of a
 	// drain that a platform is known to give, 250 ms, with the pause between two rounds of such calls.
-	again = 100 * time.Millisecond
+	hedgeAfter = 100 * time.Millisecond
 	// The pause after a call that failed: an agent that is back is to be found within the same time.
-	pause = 50 * time.Millisecond
+	retryPause = 50 * time.Millisecond
 	// Calls that open a watch are out at once in this number, against descriptors and an agent that pile up. The
 	// oldest is left its full time, for an agent that is slow; the others make room for new ones.
 	mostOpening = 5
@@ -80,7 +80,7 @@
 // addresses of all servers on the list; asked says when the module asks for the list.
 func New(address string, tell func(gather.List, []shardcall.Address), asked <-chan struct{}, log *logrus.Logger) *Follower {
 	return &Follower{base: base(address), moved: make(chan struct{}), tell: tell, asked: asked, log: log,
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, ResponseHeaderTimeout: watchWait + patience,
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, ResponseHeaderTimeout: longPoll + patience,
 			DisableCompression: true}},
 		ids: map[string]uint32{}, names: map[uint32]string{}, held: map[uint32]shardcall.Address{}, told: map[string]fact{}}
 }
@@ -238,7 +238,7 @@
 			f.whole = f.whole || r.Whole
 			news := len(r.members) > 0 && r.Revision != f.revision
 			f.Take(r)
-			if !news && time.Since(asked) < watchWait/2 { // against an agent that does not wait
+			if !news && time.Since(asked) < longPoll/2 { // against an agent that does not wait
 				f.rest(ctx, moved)
 			}
 			continue
@@ -264,7 +264,7 @@
 	case <-ctx.Done():
 	case <-moved:
 	case <-f.asked:
-	case <-time.After(pause):
+	case <-time.After(retryPause):
 	}
 }
 
@@ -304,7 +304,7 @@
 	if !f.whole {
 		return f.open(ctx, url)
 	}
-	return f.get(ctx, url+"?index="+strconv.FormatInt(f.revision, 10)+"&wait="+strconv.FormatInt(watchWait.Milliseconds(), 10), wholeChange, nil)
+	return f.get(ctx, url+"?index="+strconv.FormatInt(f.revision, 10)+"&wait="+strconv.FormatInt(longPoll.Milliseconds(), 10), wholeChange, nil)
 }
 
 // opening is the calls for the whole list that are out at one agent.
@@ -365,7 +365,7 @@
 	o := f.opening
 	limit := time.NewTimer(patience)
 	defer limit.Stop()
-	next := time.NewTicker(again)
+	next := time.NewTicker(hedgeAfter)
 	defer next.Stop()
 	o.ask(f, url)
 	for {
--- a/internal/pick/govern.go
+++ b/internal/pick/govern.go
@@ -49,7 +49,7 @@
 	case way != p.way:
 		p.way = way
 		p.terms, in.Terms = terms, terms
-		p.gate.set(terms)
+		p.retries.set(terms)
 	case news != p.governed:
 	default:
 		p.shut(in.Lists)
--- a/internal/pick/lookup.go
+++ b/internal/pick/lookup.go
@@ -216,7 +216,7 @@
 		return false
 	}
 	now := c.p.Now()
-	if lk.sealed || c.off.Load() || !c.known(now) || !c.allows(now) || c.further && !c.p.gate.pass(now) {
+	if lk.sealed || c.off.Load() || !c.known(now) || !c.allows(now) || c.further && !c.p.retries.pass(now) {
 		lk.gate.RUnlock()
 		return false
 	}
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -57,7 +57,7 @@
 	way       uint64            // in which lookups are decided now
 	governed  uint64            // the governor's news that were taken over
 	turned    bool              // it has some servers get fewer turns
-	gate      *gate
+	retries   *retryBudget
 	traces    []Tracer
 	witnesses []Witness
 	servers   map[uint32]gather.Server
@@ -96,7 +96,7 @@
 // New starts a module that knows only its terms.
 func New(seed uint64, terms gather.Terms, log *logrus.Logger) *Picker {
 	start := time.Now()
-	return &Picker{build: build, gate: newGate(terms), terms: terms, tick: max(terms.Num("tick"), 1), most: int(terms.Num("most held")), start: start,
+	return &Picker{build: build, retries: newRetryBudget(terms), terms: terms, tick: max(terms.Num("tick"), 1), most: int(terms.Num("most held")), start: start,
 		unix: float64(start.UnixNano()) / 1e6, log: log, asked: make(chan struct{}, 1), news: make(chan struct{}, 1),
 		seed: seed, module: build(seed, terms), wakeAt: math.Inf(1), lookups: map[uint64]*Lookup{},
 		parts: map[uint64]place{}, servers: map[uint32]gather.Server{}}
@@ -214,7 +214,7 @@
 		return false
 	}
 	lk.done = make(chan Verdict, 1)
-	p.gate.take(p.Now(), size)
+	p.retries.take(p.Now(), size)
 	p.tell(func(in *inbox) { in.taken = append(in.taken, lk) })
 	return true
 }
--- a/internal/pick/gate.go
+++ b/internal/pick/retrybudget.go
@@ -7,10 +7,10 @@
 	"yokeroute/internal/order"
 )
 
-// gate keeps the budget of further part calls at the moment that counts. The module counts a call when it decides on
+// retryBudget keeps the budget of further part calls at the moment that counts. The module counts a call when it decides on
 // it; the rule counts it when its bytes go, which is later by what a new connection takes. Calls that waited
 // together would come together, in a window in which less was taken than when they were decided on.
-type gate struct {
+type retryBudget struct {
 	span, free, share float64
 
 	mu             sync.Mutex
@@ -20,16 +20,16 @@
 // rounding is by how many milliseconds others may see a moment otherwise than we do.
 const rounding = 1.0
 
-// newGate is nil where the terms tell no budget: the module keeps one of its own then, which is no rule.
-func newGate(terms gather.Terms) *gate {
+// newRetryBudget is nil where the terms tell no budget: the module keeps one of its own then, which is no rule.
+func newRetryBudget(terms gather.Terms) *retryBudget {
 	if terms.Num("budget span") == 0 {
 		return nil
 	}
-	return &gate{span: terms.Num("budget span"), free: terms.Num("budget free"), share: terms.Num("budget share")}
+	return &retryBudget{span: terms.Num("budget span"), free: terms.Num("budget free"), share: terms.Num("budget share")}
 }
 
 // set takes over other figures; what was booked stays booked.
-func (g *gate) set(terms gather.Terms) {
+func (g *retryBudget) set(terms gather.Terms) {
 	if g == nil {
 		return
 	}
@@ -39,7 +39,7 @@
 }
 
 // take notes a lookup taken, with its parts.
-func (g *gate) take(now float64, n int) {
+func (g *retryBudget) take(now float64, n int) {
 	if g == nil {
 		return
 	}
@@ -52,7 +52,7 @@
 }
 
 // pass reports whether one more further call may go now, and books it if so.
-func (g *gate) pass(now float64) bool {
+func (g *retryBudget) pass(now float64) bool {
 	if g == nil {
 		return true
 	}
