--- a/internal/shardcall/crossings_test.go
+++ b/internal/shardcall/crossings_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -275,3 +276,63 @@
 		t.Errorf("frame %+v", f)
 	}
 }
+
+// TestBurstOfLeavers: many lookups wait for one connection, and all their clients go at once. Nothing goes on it.
+func TestBurstOfLeavers(t *testing.T) {
+	const many = 200
+	d := newDesk(t, "127.0.0.1:1", gather.Terms{"streams": 1000.0})
+	d.reports = make(chan report, 2*many)
+	gate, theirs := d.gated()
+	ctx, leave := context.WithCancel(t.Context())
+	var done []<-chan pick.Verdict
+	for i := range many {
+		done = append(done, d.ask(ctx, fmt.Sprint("l", i), 2, 60000))
+	}
+	for waiting := 0; waiting < 2*many; time.Sleep(time.Millisecond) {
+		d.mu.Lock()
+		waiting = len(d.attempts)
+		d.mu.Unlock()
+	}
+	leave()
+	for _, verdict := range done {
+		if v := <-verdict; v.Kind != pick.Left {
+			t.Errorf("verdict %+v", v)
+		}
+	}
+	close(gate)
+	theirs.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if n, _ := theirs.Read(make([]byte, 100)); n > 0 {
+		t.Errorf("%d bytes went", n)
+	}
+	for range 2 * many {
+		if r := <-d.reports; !r.outcome.Unrun() {
+			t.Errorf("%s ended as %v", r.id, r.outcome)
+		}
+	}
+}
+
+// TestGoneInQueue: a client goes while its call waits behind a frame that is stuck. Nothing of it follows that frame.
+func TestGoneInQueue(t *testing.T) {
+	d := newDesk(t, "127.0.0.1:1", nil)
+	theirs := d.pipe()
+	d.ask(t.Context(), "a", 1, 60000)
+	head := make([]byte, 4)
+	io.ReadFull(theirs, head)
+	ctx, leave := context.WithCancel(t.Context())
+	done := d.ask(ctx, "b", 1, 60000)
+	for waiting := 0; waiting < 2; time.Sleep(time.Millisecond) {
+		d.mu.Lock()
+		waiting = len(d.attempts)
+		d.mu.Unlock()
+	}
+	leave()
+	if v := <-done; v.Kind != pick.Left {
+		t.Errorf("verdict %+v", v)
+	}
+	d.want(t, "b.0", gather.Stale)
+	io.ReadFull(theirs, make([]byte, binary.LittleEndian.Uint32(head)))
+	theirs.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if n, _ := theirs.Read(make([]byte, 100)); n > 0 {
+		t.Errorf("%d bytes followed", n)
+	}
+}
