--- a/logic/policy/record.go
+++ b/logic/policy/record.go
@@ -39,7 +39,8 @@
 	Knows []Kind `json:"knows,omitempty"`
 }
 
-// against gives what of a policy the gatherer's floor would not keep, and what of it the gatherer does not know.
+// against gives what of a policy the gatherer's floor would not keep, and what of it the gatherer does not
+// know.
 func (m *Member) against(p Policy) (wrong, unknown []Entry) {
 	for _, e := range p {
 		if !slices.Contains(m.Knows, e.Kind) {
--- a/logic/rollout/decide.go
+++ b/logic/rollout/decide.go
@@ -226,7 +226,8 @@
 	}
 	if len(notOld) > 0 && !d.resumed {
 		d.at.Phase = Stopped
-		d.at.Why = "before the first change some gatherers do not serve as the plan's old ones: " + spell.List(notOld)
+		d.at.Why = "before the first change some gatherers do not serve as the plan's old ones: " +
+			spell.List(notOld)
 		return d.say(Stop, nil, "%s", d.at.Why)
 	}
 	d.base.see(&d.p, d.zones, o)
