--- a/cmd/yokeroute/crossings_test.go
+++ b/cmd/yokeroute/crossings_test.go
@@ -126,12 +126,25 @@
 		w.Write(text)
 		w.Close()
 		if s == syscall.SIGHUP {
-			go func() { // the file is read once more
-				if w, err := os.OpenFile(pipe, os.O_WRONLY, 0); err == nil {
+			// The file is read once more; not before the first reading has ended, which would take in both texts.
+			waitFor(t, "serving", 10*time.Second, func() bool { return p.get("/-/healthy") == 200 })
+			again := make(chan error, 1)
+			go func() {
+				w, err := os.OpenFile(pipe, os.O_WRONLY, 0)
+				if err == nil {
 					w.Write(text)
-					w.Close()
+					err = w.Close()
 				}
+				again <- err
 			}()
+			select {
+			case err := <-again:
+				if err != nil {
+					t.Error(err)
+				}
+			case <-time.After(10 * time.Second):
+				t.Error("the configuration is not read again")
+			}
 			waitFor(t, "ready", 10*time.Second, func() bool { return p.get("/-/ready") == 200 })
 			p.signal(t, syscall.SIGTERM)
 		}
@@ -280,6 +293,7 @@
 	for i := range 30 {
 		answers[<-ask(address, "q"+strconv.Itoa(i))]++
 	}
+	t.Logf("of 30 lookups: %d served", answers[served])
 	if answers[served] < 20 { // some connections are closed at the bound before they have asked
 		t.Errorf("of 30 lookups: %v", answers)
 	}
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -98,7 +98,9 @@
 	switch slow := now.Add(-firstByteTimeout); {
 	case c.makeRoom(c.fresh, slow), c.endSlow(slow), c.makeRoom(c.idle, now), c.makeRoom(c.fresh, now.Add(-firstByteTimeout/10)):
 	case c.open <= c.full:
-	case c.makeRoom(c.fresh, now): // the oldest that has not said a word; who asks does so in the moment it comes
+	// The oldest that has not said a word, then the oldest whose request is not whole: who asks does so in the moment it
+	// comes, and all at once.
+	case c.makeRoom(c.fresh, now), c.endSlow(now):
 	case state == http.StateNew: // whatever it has sent
 		conn.Close()
 		c.drop(conn)
