Of a server that drained, missing from a list is its end, also for an older list

Read again: a server told to drain and then missing from a whole list was forgotten with its drain, so that an older list of another agent put it back into service (TestOlder, 'a drain, a list that lacks it, an older one', failed).

--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -347,6 +347,7 @@
 		{"a drain taken back by a change", []string{at(5, true, run, 9), at(6, false, drain, 9), at(7, false, run, 9)}, []gather.State{0, 1, 0}},
 		{"a drain taken back by a newer list", []string{at(5, true, drain, 9), at(7, true, run, 9)}, []gather.State{1, 0}},
 		{"a list that lacks it, then one that has it", []string{at(5, true, run, 9), at(6, true, "", 0), at(5, true, run, 9)}, []gather.State{0, 2, 0}},
+		{"a drain, a list that lacks it, an older one", []string{at(5, true, run, 9), at(6, false, drain, 9), at(7, true, "", 0), at(5, true, run, 9)}, []gather.State{0, 1, 2, 2}},
 		{"an agent that begins anew", []string{at(50, true, run, 9), at(1, true, run, 9), at(2, false, drain, 9), at(3, true, drain, 9)}, []gather.State{0, 0, 1, 1}},
 	} {
 		var all []shardcall.Address
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -165,21 +165,30 @@
 		if known && m.UpSince < before.started { // a change may name no more than the server
 			f.told[m.ID] = fact{before.started, state, f.source}
 		}
-		f.gone = append(f.gone, m.ID)
-		if len(f.gone) > mostGone {
-			if old := f.gone[0]; f.told[old].state == gather.Gone {
-				delete(f.told, old)
-			}
-			f.gone = slices.Delete(f.gone, 0, 1)
-		}
+		f.bury(m.ID)
 	}
 	return m.UpSince, state
 }
 
+// bury notes that a server is gone, and forgets the one that has been for longest where they are too many.
+func (f *Follower) bury(name string) {
+	f.gone = append(f.gone, name)
+	if len(f.gone) > mostGone {
+		if old := f.gone[0]; f.told[old].state == gather.Gone {
+			delete(f.told, old)
+		}
+		f.gone = slices.Delete(f.gone, 0, 1)
+	}
+}
+
 // forget drops a server that has gone, against keeping all that there ever were. Its number is free again.
 func (f *Follower) forget(id uint32) {
-	if name := f.names[id]; f.told[name].state != gather.Gone { // a list lacked it, which proves no end
+	switch name := f.names[id]; f.told[name].state {
+	case gather.Running: // a list lacked it, which proves no end
 		delete(f.told, name)
+	case gather.Draining: // and of one that drained is its end
+		f.told[name] = fact{f.told[name].started, gather.Gone, f.source}
+		f.bury(name)
 	}
 	delete(f.ids, f.names[id])
 	delete(f.names, id)
