--- a/internal/front/clientconn.go
+++ b/internal/front/clientconn.go
@@ -104,7 +104,7 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		if t.shut { // it was ended while this waited: nothing of it may be served
-			err = net.ErrClosed
+			n, err = 0, net.ErrClosed // n is -1 since the read before, which had to wait
 			return true
 		}
 		for n, err = syscall.Read(int(fd), p); err == syscall.EINTR; n, err = syscall.Read(int(fd), p) {
--- a/internal/front/crossings_test.go
+++ b/internal/front/crossings_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -217,6 +218,49 @@
 	}
 }
 
+// TestEndedUnderRead: a connection is ended while a read of it waits, and a byte comes that wakes the read. It gives
+// nothing; once it gave the -1 that the system says where there is nothing to read, which ended the process.
+func TestEndedUnderRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	far := dial(t, l.Addr().String())
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	conn := &clientConn{TCPConn: accepted.(*net.TCPConn), linger: lingerTime}
+	type result struct {
+		n   int
+		err error
+	}
+	got := make(chan result, 1)
+	go func() {
+		n, err := conn.receive(make([]byte, 1))
+		got <- result{n, err}
+	}()
+	until(t, "the read waits", func() bool {
+		all := make([]byte, 1<<20)
+		all = all[:runtime.Stack(all, true)]
+		for _, g := range strings.Split(string(all), "\n\n") {
+			if strings.Contains(g, "IO wait") && strings.Contains(g, "clientConn).receive") {
+				return true
+			}
+		}
+		return false
+	})
+	conn.mu.Lock()
+	conn.shut = true
+	conn.mu.Unlock()
+	io.WriteString(far, "P")
+	if r := <-got; r.n != 0 || r.err != net.ErrClosed {
+		t.Errorf("read %d, %v", r.n, r.err)
+	}
+}
+
 // TestShutdownNew: a connection that came before the listener closed says nothing until that has closed. Its request
 // was read and dropped without a word; it has to be answered, within the time that is left of the shutdown.
 func TestShutdownNew(t *testing.T) {
