Tests of one client connection share how they get it

Read again: three tests of the front set up the same pair of ends; pair does it now. A comment of conns is wrapped. No assertion and no behaviour changes; the package's tests pass under -race.

--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -13,8 +13,8 @@
 // conns keeps the clients' connections within their bound, so that shard servers can still be reached and no
 // descriptor is missing for the next client. Where there are too many it closes one on which nothing is asked:
 // first one that has had its time to say something and did not, then one that has asked before, the longest
-// first, and one that is new only after them; one that sends half a request goes as one that says nothing. None is left waiting unaccepted: what is written to such a one
-// counts as taken.
+// first, and one that is new only after them; one that sends half a request goes as one that says nothing. None is
+// left waiting unaccepted: what is written to such a one counts as taken.
 type conns struct {
 	most int // on which something may be asked
 	kept int // that have asked, in use or idle; clients get no more than a third of all, the idle ones included
--- a/internal/front/crossings_test.go
+++ b/internal/front/crossings_test.go
@@ -29,6 +29,23 @@
 	return c.(*net.TCPConn)
 }
 
+// pair is a client's connection by itself, and the client's end of it.
+func pair(t *testing.T) (conn *clientConn, far *net.TCPConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	far = dial(t, l.Addr().String())
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepted.Close() })
+	return &clientConn{TCPConn: accepted.(*net.TCPConn), linger: lingerTime}, far
+}
+
 // read reads one answer; nothing may follow it where its connection ends.
 func read(t *testing.T, r *bufio.Reader) *http.Response {
 	t.Helper()
@@ -177,18 +194,7 @@
 // TestReadThenEnded: the bytes of a request have been read when the connection is ended by another goroutine. Either
 // the request is in hand and the connection stays, or the connection is ended and the request is not served.
 func TestReadThenEnded(t *testing.T) {
-	near, far := net.Listener(nil), (*net.TCPConn)(nil)
-	near, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer near.Close()
-	far = dial(t, near.Addr().String())
-	accepted, err := near.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	conn := &clientConn{TCPConn: accepted.(*net.TCPConn), linger: lingerTime}
+	conn, far := pair(t)
 	if !conn.begin() || conn.endResting() {
 		t.Error("ended under a request in hand")
 	}
@@ -221,18 +227,7 @@
 // TestEndedUnderRead: a connection is ended while a read of it waits, and a byte comes that wakes the read. It gives
 // nothing; once it gave the -1 that the system says where there is nothing to read, which ended the process.
 func TestEndedUnderRead(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	far := dial(t, l.Addr().String())
-	accepted, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer accepted.Close()
-	conn := &clientConn{TCPConn: accepted.(*net.TCPConn), linger: lingerTime}
+	conn, far := pair(t)
 	type result struct {
 		n   int
 		err error
@@ -322,17 +317,7 @@
 // TestCloseOverUnread: bytes wait unread when a connection is closed behind its last answer. A plain close resets it,
 // and the answer may be lost with that; the client has to read all of it and then an end.
 func TestCloseOverUnread(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	far := dial(t, l.Addr().String())
-	accepted, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	conn := &clientConn{TCPConn: accepted.(*net.TCPConn), linger: lingerTime}
+	conn, far := pair(t)
 	io.WriteString(far, "more")
 	until(t, "bytes wait", func() bool { return asked(conn.TCPConn) })
 	io.WriteString(conn, "answer")
