A part call tells its server what is left of its time when its frame is written

Ruled out: the decision's own figure, which is the client's for first and further calls alike; first passes, whose GiveUpAt is not later than their lookup's.

Change: pick.Call.Left is what is left by the picker's clock; the frame tells that, its write deadline goes by it, and a call with less than a millisecond left is not written. What the kernel has taken can't be told anew.

--- a/internal/pick/lookup.go
+++ b/internal/pick/lookup.go
@@ -189,6 +189,9 @@
 // Number counts the calls of its part, in its pass, from 0.
 func (c *Call) Number() int { return c.number }
 
+// Left is how many milliseconds of its time are left: less than at the decision, where it has waited for a connection.
+func (c *Call) Left() float64 { return c.at + c.Timeout - c.p.Now() }
+
 // At is when it was decided on, by the picker's clock.
 func (c *Call) At() float64 { return c.at }
 
--- a/internal/shardcall/conn.go
+++ b/internal/shardcall/conn.go
@@ -13,6 +13,9 @@
 	"yokeroute/gather"
 )
 
+// leastLeft is the least time, in milliseconds, that a call can tell its server.
+const leastLeft = 1
+
 // frame is what waits to be written: parts of one call, the name of a part that is given up, or a probe.
 type frame struct {
 	calls  []*attempt
@@ -290,6 +293,10 @@
 		if c.pool.attempts[a.call] != a {
 			continue
 		}
+		if a.call.Left() < leastLeft {
+			c.pool.end(a, &Error{NotSent, errTime}, nil)
+			continue
+		}
 		// A server that was told to drain while the call waited gets nothing new, grace or not. Where one was
 		// that has moved, another may be by now.
 		if c.closed || c.spoilt || c.srv.State != gather.Running || c.srv.HostPort != c.address || c.out[a.id] != nil || !a.call.Begin() {
@@ -301,7 +308,7 @@
 		}
 		c.out[a.id] = a
 		live = append(live, a)
-		longest = max(longest, time.Duration(a.call.Timeout*1e6))
+		longest = max(longest, time.Duration(a.call.Left()*1e6))
 	}
 	if len(live) > 0 {
 		c.until = time.Now().Add(longest)
--- a/internal/shardcall/crossings_test.go
+++ b/internal/shardcall/crossings_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"math"
 	"net"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -336,3 +338,47 @@
 		t.Errorf("%d bytes followed", n)
 	}
 }
+
+// timeTold is the time in milliseconds that the first part of the next frame tells its server.
+func timeTold(t *testing.T, theirs *standin.Conn) int {
+	t.Helper()
+	frame := theirs.Read()
+	if len(frame.Parts) == 0 {
+		t.Fatalf("frame %+v", frame)
+	}
+	text, found := strings.CutPrefix(frame.Parts[0].List, "d=")
+	told, err := strconv.Atoi(text)
+	if !found || err != nil {
+		t.Fatalf("part %+v", frame.Parts[0])
+	}
+	return told
+}
+
+// TestTimeToldAfterWait: a call waits for its connection, or behind a frame that its server does not read on. What it
+// then tells is what is left of its time, not what was left when it was decided on.
+func TestTimeToldAfterWait(t *testing.T) {
+	const wait, waited = 60000, 300 * time.Millisecond
+	for _, queued := range []bool{false, true} {
+		d := newDesk(t, "127.0.0.1:1", nil)
+		gate, pipe := d.gated()
+		theirs := standin.NewConn(t, pipe)
+		if queued {
+			close(gate)
+			d.ask(t.Context(), "first", 1, wait)
+			d.writing(t)
+		}
+		d.ask(t.Context(), "a", 1, wait)
+		asked := time.Now()
+		for time.Since(asked) < waited {
+			time.Sleep(time.Millisecond)
+		}
+		if queued {
+			timeTold(t, theirs)
+		} else {
+			close(gate)
+		}
+		if told, most := timeTold(t, theirs), wait-int(waited.Milliseconds()); told > most {
+			t.Errorf("queued %v: told %d ms, at most %d were left", queued, told, most)
+		}
+	}
+}
--- a/internal/shardcall/frame.go
+++ b/internal/shardcall/frame.go
@@ -39,7 +39,8 @@
 	return buf
 }
 
-// appendCall writes parts that travel as one call; all are of a first pass or none is.
+// appendCall writes parts that travel as one call; all are of a first pass or none is. Each tells what is left of its
+// time now: a call may have waited for its connection, or behind other frames.
 func appendCall(buf []byte, calls []*attempt) []byte {
 	from, letter := len(buf), byte('Q')
 	if calls[0].call.First() {
@@ -55,7 +56,7 @@
 		buf = append(buf, ' ')
 		buf = strconv.AppendInt(buf, int64(a.call.Shard()), 10)
 		buf = append(buf, " d="...)
-		buf = strconv.AppendInt(buf, max(int64(a.call.Timeout), 1), 10)
+		buf = strconv.AppendInt(buf, int64(a.call.Left()), 10)
 		if owned {
 			buf = appendKeys(buf, a)
 		}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -61,6 +61,9 @@
 	return &Conn{nc, s.t, bufio.NewReader(nc)}
 }
 
+// NewConn takes a connection that something else has accepted.
+func NewConn(t *testing.T, nc net.Conn) *Conn { return &Conn{nc, t, bufio.NewReader(nc)} }
+
 // Read waits for the next frame; at the connection's end its letter is 0.
 func (c *Conn) Read() Frame {
 	var head [4]byte
