Clients' time counts from the first byte, and a flood behind a refusal ends there

TestTimeFromFirstByte: given up at 1480, the client at 1180. - decide told by a second result that more came behind a request than is kept, and lookup dropped it beside an error: the 409 kept its connection, and begin turned the next request into net/http's empty 200. - writing the test showed a third: where the bytes behind came with the request, net/http had read its one byte before the lookup was handed in, and nobody read on: a client that went so was not noticed (receive started the reader only where somebody asked by then).

Change: closing asks the connection itself whether it was overrun, for every answer; a request that begin turns away is aborted (http.ErrAbortHandler); watch starts the reader where a byte was read before; the time counts from the first byte that was read of the request.

Tests that fail without the change: TestTooMuchBehindRefused, TestEndedBeforeServed, TestTimeFromFirstByte, TestGoneSentAtOnce.

--- a/internal/front/clientconn.go
+++ b/internal/front/clientconn.go
@@ -34,6 +34,7 @@
 	over   bool   // more came behind a request in hand than is kept: nothing that follows can be served
 	gone   func() // tells who serves that the client has gone; nil while nobody asks
 	reader chan struct{}
+	behind bool // net/http has read its one byte behind a request that is not watched yet, and reads no further
 
 	// The rest belongs to whoever reads; net/http reads from one goroutine at a time.
 	line           []byte // the beginning of the line that is being read
@@ -120,9 +121,9 @@
 			if t.since.IsZero() {
 				t.since = time.Now()
 			}
-			if t.gone != nil && t.reader == nil { // net/http reads no further while it serves
-				t.reader = make(chan struct{})
-				go t.readAhead(t.gone, t.reader)
+			t.behind = len(p) == 1 && t.gone == nil // it reads one byte only behind a request in hand
+			if t.gone != nil && t.reader == nil {   // net/http reads no further while it serves
+				t.startReader()
 			}
 		}
 		return true
@@ -151,11 +152,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.whole, t.since, t.gone = true, time.Time{}, gone
+	if t.behind {
+		t.behind = false
+		t.startReader()
+	}
+}
+
+// startReader begins to read ahead; the lock is held, and net/http has no read open.
+func (t *clientConn) startReader() {
+	t.reader = make(chan struct{})
+	go t.readAhead(t.gone, t.reader)
 }
 
 // unwatch ends watch before the answer is written, so that what a client sends on having its answer is left to
-// net/http. It reports whether the connection may be used for a next request.
-func (t *clientConn) unwatch() bool {
+// net/http.
+func (t *clientConn) unwatch() {
 	t.mu.Lock()
 	t.gone = nil
 	reader := t.reader
@@ -165,9 +176,23 @@
 		t.SetReadDeadline(time.Unix(1, 0)) // net/http sets its own before it reads on
 		<-reader
 	}
+}
+
+// overrun reports whether more came behind a request in hand than is kept, so that no next request can be served.
+func (t *clientConn) overrun() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.over
+	return t.over
+}
+
+// arriving is for how long a request that is not whole yet has been arriving.
+func (t *clientConn) arriving() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.since.IsZero() {
+		return 0
+	}
+	return time.Since(t.since)
 }
 
 // readAhead reads behind a request in hand until the client has gone or the request is answered.
@@ -200,7 +225,7 @@
 	if !t.whole { // answered without having been read to its end
 		t.since = time.Time{}
 	}
-	t.inHand, t.whole = false, false
+	t.inHand, t.whole, t.behind = false, false, false
 }
 
 // endResting ends the connection if nothing is asked on it: no request is in hand, and no byte of one has been read or
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -45,8 +45,8 @@
 	Text json.RawMessage `json:"q"`
 }
 
-// readHead takes from a request what stands before its body, the time from which it counts included.
-func (s *Server) readHead(r *http.Request, now float64) (*pick.Lookup, error) {
+// readHead takes from a request what stands before its body; its time counts from when it was sent.
+func (s *Server) readHead(r *http.Request, sent float64) (*pick.Lookup, error) {
 	index, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	switch {
 	case !s.indexes[index]:
@@ -71,7 +71,7 @@
 	if err != nil || len(h["X-Timeout-Ms"]) != 1 || wait == 0 || wait > longestWait {
 		return nil, bad("X-Timeout-Ms: %.40q", h.Get("X-Timeout-Ms"))
 	}
-	lk.GiveUpAt = now + float64(wait)
+	lk.GiveUpAt = sent + float64(wait)
 	return lk, nil
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -170,7 +170,7 @@
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	conn := connOf(r.Context())
 	if conn != nil && !conn.begin() {
-		return // ended while this request was on its way: its client sends it again elsewhere
+		panic(http.ErrAbortHandler) // ended while this request was on its way: its client sends it again elsewhere
 	}
 	defer func() {
 		if fault := recover(); fault != nil {
@@ -186,7 +186,7 @@
 		refuse(w, http.StatusBadRequest, "Content-Length and Transfer-Encoding")
 		return
 	}
-	s.closing(w)
+	s.closing(w, conn)
 	switch r.URL.Path {
 	case "/-/ready":
 		if s.leaving.Load() || !s.ready() {
@@ -205,16 +205,16 @@
 		}
 		if err := s.lookup(w, r, rc, conn); err != nil {
 			s.log.WithError(err).Debug("request not taken")
-			s.closing(w)
+			s.closing(w, conn)
 			refuse(w, statusOf(err), err.Error())
 		}
 	}
 }
 
-// closing has an answer end its connection where the server is leaving: what a client sends there afterwards would come
-// too late.
-func (s *Server) closing(w http.ResponseWriter) {
-	if s.leaving.Load() {
+// closing has an answer end its connection where nothing that a client sends there afterwards could be served: the
+// server is leaving, or more came behind the request than is kept.
+func (s *Server) closing(w http.ResponseWriter, conn *clientConn) {
+	if s.leaving.Load() || conn != nil && conn.overrun() {
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -227,7 +227,11 @@
 		return nil
 	}
 	now := s.picker.Now()
-	lk, err := s.readHead(r, now)
+	sent := now // the client's time counts from when it sent the request, which may arrive slowly
+	if conn != nil {
+		sent -= float64(conn.arriving()) / 1e6
+	}
+	lk, err := s.readHead(r, sent)
 	if err != nil {
 		return err
 	}
@@ -251,37 +255,33 @@
 	if err := s.readBody(lk, text); err != nil {
 		return err
 	}
-	v, kept, err := s.decide(r.Context(), lk, conn)
+	v, err := s.decide(r.Context(), lk, conn)
 	if err != nil {
 		return err
 	}
-	if !kept {
-		w.Header().Set("Connection", "close")
-	}
-	s.closing(w)
+	s.closing(w, conn)
 	rc.SetWriteDeadline(until.Add(writeTimeout))
 	answer(w, v)
 	return nil
 }
 
-// decide waits for a lookup's verdict, or until its client has gone. It reports as well whether the connection may be
-// used for another request.
-func (s *Server) decide(ctx context.Context, lk *pick.Lookup, conn *clientConn) (v pick.Verdict, kept bool, err error) {
+// decide waits for a lookup's verdict, or until its client has gone.
+func (s *Server) decide(ctx context.Context, lk *pick.Lookup, conn *clientConn) (pick.Verdict, error) {
 	ctx, gone := context.WithCancel(ctx)
 	defer gone()
 	if conn != nil {
 		conn.watch(gone)
-		defer func() { kept = conn.unwatch() }()
+		defer conn.unwatch()
 	}
 	h, err := s.hold(ctx, lk.ID)
 	if err != nil {
-		return v, true, err
+		return pick.Verdict{}, err
 	}
 	defer s.letGo(lk.ID, h)
 	if ctx.Err() != nil { // gone before anything is decided
-		return pick.Verdict{Kind: pick.Left}, true, nil
+		return pick.Verdict{Kind: pick.Left}, nil
 	}
-	return s.picker.Pick(ctx, lk), true, nil
+	return s.picker.Pick(ctx, lk), nil
 }
 
 // hold takes a name. A client whose connection was closed under its request sends it once more and may be here
