A list service that all gatherers share is asked with growing pauses after a refusal

Cause: discovery/follow.go asked again 50 ms after any failure, and hedged each call by up to five more. Where the list is told only when asked each call takes capacity of one service for all: six gatherers asked 120 times a second, every call was refused for the others', and nobody heard of the drains.

Change: where the settings say so, one call at a time, and after failed ones a pause of 100 ms that doubles up to 1.6 s, drawn from half to one and a half of it. Pushed lists are followed as before.

--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -31,6 +32,10 @@
 	hedgeAfter = 100 * time.Millisecond
 	// The pause after a call that failed: an agent that is back is to be found within the same time.
 	retryPause = 50 * time.Millisecond
+	// A service that answers only when asked has a capacity that all gatherers share: after a call that failed the pause
+	// doubles up to the longest, and is drawn from half to one and a half of that, against all asking at once.
+	sharedPause     = 100 * time.Millisecond
+	sharedPauseMost = 1600 * time.Millisecond
 	// Calls that open a watch are out at once in this number, against descriptors and an agent that pile up. The
 	// oldest is left its full time, for an agent that is slow; the others make room for new ones.
 	mostOpening = 5
@@ -52,6 +57,9 @@
 	tell  func(gather.List, []shardcall.Address)
 	asked <-chan struct{}
 
+	shared bool // each call costs a service that all gatherers share
+	failed int  // calls in a row
+
 	mu    sync.Mutex
 	base  string
 	moved chan struct{} // closed by the next Move
@@ -85,6 +93,10 @@
 		ids: map[string]uint32{}, names: map[uint32]string{}, held: map[uint32]shardcall.Address{}, told: map[string]fact{}}
 }
 
+// Shared has calls made one at a time, with growing pauses after those that fail: the list is told only when asked, by
+// a service whose capacity all gatherers share. It has to be called before Run.
+func (f *Follower) Shared() { f.shared = true }
+
 func base(address string) string { return "http://" + address + "/api/targets" }
 
 // Move has the list followed at another address from now on. What is being asked of the old agent is broken
@@ -243,7 +255,7 @@
 			if down {
 				f.log.Info("discovery answers again")
 			}
-			down = false
+			down, f.failed = false, 0
 			f.whole = f.whole || r.Whole
 			news := len(r.members) > 0 && r.Revision != f.revision
 			f.Take(r)
@@ -263,10 +275,26 @@
 		f.tell(gather.List{Failed: true}, f.all())
 		f.whole = false // a watch that broke may have missed changes
 		down = true
+		if f.shared {
+			f.backOff(ctx, moved)
+			continue
+		}
 		f.rest(ctx, moved)
 	}
 }
 
+// backOff waits after a failed call to a shared service, longer with each.
+func (f *Follower) backOff(ctx context.Context, moved <-chan struct{}) {
+	pause := min(sharedPause<<min(f.failed, 10), sharedPauseMost)
+	f.failed++
+	select {
+	case <-ctx.Done():
+	case <-moved:
+		f.failed = 0
+	case <-time.After(pause/2 + rand.N(pause)):
+	}
+}
+
 // rest waits before the next call, or until the module asks for the list or that is followed elsewhere.
 func (f *Follower) rest(ctx context.Context, moved <-chan struct{}) {
 	select {
@@ -393,7 +421,9 @@
 				return nil, e.err
 			}
 		case <-next.C:
-			o.ask(f, url)
+			if !f.shared {
+				o.ask(f, url)
+			}
 		case <-limit.C:
 			return nil, errSilent
 		case <-ctx.Done():
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -177,6 +177,9 @@
 			listed.Store(true)
 		}
 	}, s.Picker.Asked(), log)
+	if terms.Flag("list is asked for") {
+		s.follower.Shared()
+	}
 	if c.Known != nil {
 		s.handover.apply(c.Known)
 		s.follower.Take(c.Known)
