A watch at a shared list service begins from the last revision

Cause: after each failed call the whole list was asked for and then a watch opened: two calls where a watch from the last revision tells what came since by one, and both may be refused. The whole list is asked for where the service has not come as far as what is known, after SIGHUP to another, and at a start without a list.

Tests TestSharedService, TestSharedServiceBehind.

--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -387,3 +388,85 @@
 		t.Errorf("%d facts, %d names", len(f.told), len(f.gone))
 	}
 }
+
+// TestSharedService: a service that answers only when asked refuses all calls for a while. It is asked by one call at a
+// time, ever more seldom, and with what is newer than the last list; it was asked twenty times a second, by up to five
+// calls at once, for the whole list, so that a few gatherers together kept it from answering any.
+func TestSharedService(t *testing.T) {
+	const refusals = 5
+	type call struct {
+		at    time.Time
+		query string
+	}
+	calls := make(chan call, 100)
+	var open, most atomic.Int32
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n := open.Add(1); n > most.Load() {
+			most.Store(n)
+		}
+		defer open.Add(-1)
+		calls <- call{time.Now(), r.URL.RawQuery}
+		if len(calls) <= refusals {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		<-r.Context().Done()
+	}))
+	defer agent.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := New(strings.TrimPrefix(agent.URL, "http://"), func(gather.List, []shardcall.Address) {}, nil, log)
+	f.Shared()
+	known, err := Parse([]byte(whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Take(known)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { f.Run(ctx); close(ended) }()
+	for end := time.Now().Add(20 * time.Second); len(calls) <= refusals && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	<-ended
+	var before time.Time
+	for n := range refusals + 1 {
+		c := <-calls
+		if want := "index=" + strconv.FormatInt(known.Revision, 10) + "&"; !strings.HasPrefix(c.query, want) {
+			t.Errorf("call %d asks for %q, not from %q on", n, c.query, want)
+		}
+		if least := sharedPause << max(n-1, 0) / 2; n > 0 && c.at.Sub(before) < min(least, sharedPauseMost/2) {
+			t.Errorf("call %d comes %s after the one before, at least %s are due", n, c.at.Sub(before), least)
+		}
+		before = c.at
+	}
+	if most.Load() != 1 {
+		t.Errorf("%d calls were out at once", most.Load())
+	}
+}
+
+// TestSharedServiceBehind: the service has not come as far as the list that was known. Its whole list is asked for.
+func TestSharedServiceBehind(t *testing.T) {
+	asked := make(chan string, 100)
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RawQuery
+		io.WriteString(w, `{"revision":0,"complete":false,"members":[]}`)
+	}))
+	defer agent.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := New(strings.TrimPrefix(agent.URL, "http://"), func(gather.List, []shardcall.Address) {}, nil, log)
+	f.Shared()
+	known, err := Parse([]byte(whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Take(known)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go f.Run(ctx)
+	if first, second := <-asked, <-asked; first == "" || second != "" {
+		t.Errorf("asked for %q, then for %q", first, second)
+	}
+}
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -228,6 +228,7 @@
 	defer func() { f.opening.end() }()
 	at, moved := f.place()
 	f.source++ // what the platform gave at the start is another's word
+	f.whole = f.resumes()
 	for ctx.Err() == nil {
 		select {
 		case <-moved:
@@ -249,7 +250,7 @@
 		case !f.whole && !r.Whole:
 			err = errors.New("a change, where the whole list was asked for")
 		case !r.Whole && r.Revision < f.revision:
-			err = fmt.Errorf("a change of version %d, where what is newer than %d was asked for", r.Revision, f.revision)
+			err = fmt.Errorf("%w: a change of version %d, where what is newer than %d was asked for", errBehind, r.Revision, f.revision)
 		}
 		if err == nil {
 			if down {
@@ -273,7 +274,7 @@
 		}
 		f.log.WithError(err).Log(level, "discovery does not answer; the last list stays in force")
 		f.tell(gather.List{Failed: true}, f.all())
-		f.whole = false // a watch that broke may have missed changes
+		f.whole = f.resumes() && !errors.Is(err, errBehind) // a watch that broke may have missed changes
 		down = true
 		if f.shared {
 			f.backOff(ctx, moved)
@@ -283,6 +284,10 @@
 	}
 }
 
+// resumes reports whether a watch may begin from the last revision, without the whole list before it: a new watch tells
+// first what came since, and at a shared service a call that can be spared is one for another gatherer.
+func (f *Follower) resumes() bool { return f.shared && f.revision > 0 }
+
 // backOff waits after a failed call to a shared service, longer with each.
 func (f *Follower) backOff(ctx context.Context, moved <-chan struct{}) {
 	pause := min(sharedPause<<min(f.failed, 10), sharedPauseMost)
@@ -313,6 +318,9 @@
 	return all
 }
 
+// errBehind is an answer of an agent that has not come as far as what was told before: only its whole list helps.
+var errBehind = errors.New("discovery is behind")
+
 var errMoved = errors.New("followed elsewhere now")
 
 // ask makes one call: for the whole list at first, then for what is newer than the last reply. A move breaks
--- /dev/null
+++ b/internal/scale/decisions.go
@@ -0,0 +1,217 @@
+package scale
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"time"
+
+	"yokeroute/gather"
+	"yokeroute/internal/pcg"
+	"yokeroute/logic"
+)
+
+// DecisionTerms are one gatherer's decisions over a fleet of shard servers.
+type DecisionTerms struct {
+	Servers  int
+	Replicas int // of each group of shards
+	Parts    int // of a query
+	Rate     float64
+	Seconds  float64 // measured, behind as long a time to fill the records
+	Seed     uint64
+}
+
+// DecisionCost is what the decisions cost.
+type DecisionCost struct {
+	Queries   int
+	Sent      int           // part calls
+	Processor time.Duration // a query
+	Allocated float64       // times a query
+	Longest   time.Duration // of all rounds
+	Late      time.Duration // the 99th percentile of rounds that a query lands in
+	Live      uint64        // heap bytes
+}
+
+// Latencies of the model's shard servers, in milliseconds, and the shares of slow servers and of lost calls.
+const (
+	leastLatency    = 6.0
+	latencyRange    = 18.0
+	slowServers     = 100 // one in so many answers
+	slowness        = 3.0 // times slower
+	lostCalls       = 500 // one in so many fails
+	decisionTick    = 5.0
+	softDeadline    = 58.0
+	hardDeadline    = 1000.0
+	recordsFillTime = 6.0 // seconds until the module's window of records is full
+)
+
+// decisionSettings are settings of a deployment of that shape, in the module's words.
+func decisionSettings(t DecisionTerms) gather.Terms {
+	groups := max(t.Servers/t.Replicas, 1)
+	return gather.Terms{"indexes": []string{"find"}, "groups": float64(groups), "groups in a row": 1.0, "shards": float64(groups),
+		"most calls": 3.0, "call off": true, "second copies": true, "tick": decisionTick, "gatherers": float64(DesignGatherers),
+		"longest come back": 1000.0, "budget span": 10_000.0, "budget free": 10.0, "budget share": 0.02,
+		"find/soft deadline": softDeadline, "find/hard deadline": hardDeadline, "find/late share": 0.1,
+		"find/whole from": 0.99, "find/least share": 0.9, "find/effect": "idempotent"}
+}
+
+// ending is a part call's end to come.
+type ending struct {
+	at float64
+	gather.Ending
+}
+
+type endings []ending
+
+func (e endings) Len() int           { return len(e) }
+func (e endings) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e endings) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+
+// Push is the heap's.
+func (e *endings) Push(one any) { *e = append(*e, one.(ending)) }
+
+// Pop is the heap's.
+func (e *endings) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// queryLoad plays queries to a decision module in virtual time. It is the module's writer.
+type queryLoad struct {
+	terms   DecisionTerms
+	module  gather.Module
+	chance  *pcg.Source
+	now     float64
+	wake    float64
+	next    uint64
+	calls   map[uint64]int // of parts that are held
+	ends    endings
+	sent    int
+	queries int
+	longest time.Duration
+	landing []float64 // seconds that rounds took in which a query landed
+	round   gather.Round
+}
+
+func newQueryLoad(t DecisionTerms) *queryLoad {
+	q := &queryLoad{terms: t, chance: pcg.New(t.Seed + 1), now: 1e6, next: 1, calls: map[uint64]int{},
+		module: logic.New(t.Seed, decisionSettings(t))}
+	groups := max(t.Servers/t.Replicas, 1)
+	list := gather.List{Full: true}
+	for i := range t.Servers {
+		list.Servers = append(list.Servers, gather.Server{ID: uint32(i), Group: i % groups})
+	}
+	q.round.Lists = append(q.round.Lists, list)
+	q.play()
+	return q
+}
+
+// Send is the module's writer's: the call's end is drawn.
+func (q *queryLoad) Send(part uint64, server uint32, _ float64) {
+	q.sent++
+	number := q.calls[part]
+	q.calls[part]++
+	latency := leastLatency + latencyRange*q.chance.Float64()*q.chance.Float64()
+	if server%slowServers == 0 {
+		latency *= slowness
+	}
+	outcome := gather.Answered
+	if q.chance.Uint32()%lostCalls == 0 {
+		outcome = gather.Erred
+	}
+	heap.Push(&q.ends, ending{q.now + latency, gather.Ending{Part: part, Server: server, Call: number, Waited: latency,
+		Outcome: outcome, Over: outcome == gather.Answered}})
+}
+
+// CallOff is the module's writer's: a call that is given up may be answered all the same.
+func (q *queryLoad) CallOff(uint64, int) {}
+
+// Answer is the module's writer's.
+func (q *queryLoad) Answer(lookup uint64, _ bool) { q.forget(lookup) }
+
+// Nack is the module's writer's.
+func (q *queryLoad) Nack(lookup uint64, _ float64) { q.forget(lookup) }
+
+// Abort is the module's writer's.
+func (q *queryLoad) Abort(lookup uint64) { q.forget(lookup) }
+
+// Wake is the module's writer's.
+func (q *queryLoad) Wake(after float64) { q.wake = q.now + after }
+
+// Subscribe is the module's writer's.
+func (q *queryLoad) Subscribe() {}
+
+// Probe is the module's writer's.
+func (q *queryLoad) Probe(uint32) {}
+
+func (q *queryLoad) forget(lookup uint64) {
+	for part := range uint64(q.terms.Parts) {
+		delete(q.calls, lookup+1+part)
+	}
+}
+
+// land brings a query into the next round; its shards are in a row from one drawn by chance.
+func (q *queryLoad) land() {
+	id, from := q.next, int(q.chance.Uint32()>>1)
+	q.next += uint64(q.terms.Parts) + 1
+	groups := max(q.terms.Servers/q.terms.Replicas, 1)
+	q.round.Lookups = append(q.round.Lookups, gather.Lookup{ID: id, Number: id, Index: "find", GiveUpAt: q.now + hardDeadline})
+	for i := range q.terms.Parts {
+		q.round.Parts = append(q.round.Parts, gather.Part{ID: id + 1 + uint64(i), Number: id, Shard: (from + i) % groups,
+			Weight: 1 / float64(q.terms.Parts)})
+	}
+	q.queries++
+}
+
+// play runs one round on what has come in.
+func (q *queryLoad) play() {
+	for len(q.ends) > 0 && q.ends[0].at <= q.now {
+		q.round.Endings = append(q.round.Endings, heap.Pop(&q.ends).(ending).Ending)
+	}
+	q.round.Now = q.now
+	began := time.Now()
+	q.module.Round(&q.round, q)
+	took := time.Since(began)
+	q.longest = max(q.longest, took)
+	if len(q.round.Lookups) > 0 {
+		q.landing = append(q.landing, took.Seconds())
+	}
+	q.round = gather.Round{Lookups: q.round.Lookups[:0], Parts: q.round.Parts[:0], Endings: q.round.Endings[:0]}
+}
+
+// run plays so many seconds; queries land evenly.
+func (q *queryLoad) run(ctx context.Context, seconds float64) {
+	until, gap := q.now+1000*seconds, 1000/q.terms.Rate
+	for due := q.now + gap; q.now < until && ctx.Err() == nil; q.now += decisionTick {
+		for ; due <= q.now; due += gap {
+			q.land()
+		}
+		if len(q.round.Lookups) > 0 || len(q.ends) > 0 && q.ends[0].at <= q.now || q.wake > 0 && q.wake <= q.now {
+			q.wake = 0
+			q.play()
+		}
+	}
+}
+
+// Decide measures the decisions of one gatherer.
+func Decide(ctx context.Context, t DecisionTerms) (DecisionCost, error) {
+	if t.Servers < 1 || t.Replicas < 1 || t.Parts < 1 || t.Rate <= 0 || t.Seconds <= 0 {
+		return DecisionCost{}, fmt.Errorf("decisions: %d servers, %d replicas, %d parts, %g queries a second, %g s: all have to be above 0",
+			t.Servers, t.Replicas, t.Parts, t.Rate, t.Seconds)
+	}
+	q := newQueryLoad(t)
+	q.run(ctx, recordsFillTime)
+	q.queries, q.sent, q.longest, q.landing = 0, 0, 0, nil
+	used := spent(func() { q.run(ctx, t.Seconds) })
+	if ctx.Err() != nil {
+		return DecisionCost{}, ctx.Err()
+	}
+	if q.queries == 0 {
+		return DecisionCost{}, fmt.Errorf("decisions: no query landed in %g s", t.Seconds)
+	}
+	n := float64(q.queries)
+	return DecisionCost{Queries: q.queries, Sent: q.sent, Processor: used.Processor / time.Duration(q.queries),
+		Allocated: float64(used.Allocations) / n, Longest: q.longest,
+		Late: time.Duration(quantile(q.landing, 0.99) * 1e9), Live: used.Live}, nil
+}
