--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -286,7 +286,7 @@
 
 // resumes reports whether a watch may begin from the last revision, without the whole list before it: a new watch tells
 // first what came since, and at a shared service a call that can be spared is one for another gatherer.
-func (f *Follower) resumes() bool { return f.shared && f.revision > 0 }
+func (f *Follower) resumes() bool { return f.shared && len(f.held) > 0 }
 
 // backOff waits after a failed call to a shared service, longer with each.
 func (f *Follower) backOff(ctx context.Context, moved <-chan struct{}) {
--- a/internal/scale/decisions.go
+++ b/internal/scale/decisions.go
@@ -84,6 +84,7 @@
 	chance  *pcg.Source
 	now     float64
 	wake    float64
+	due     float64 // when the next query lands
 	next    uint64
 	calls   map[uint64]int // of parts that are held
 	ends    endings
@@ -183,8 +184,11 @@
 // run plays so many seconds; queries land evenly.
 func (q *queryLoad) run(ctx context.Context, seconds float64) {
 	until, gap := q.now+1000*seconds, 1000/q.terms.Rate
-	for due := q.now + gap; q.now < until && ctx.Err() == nil; q.now += decisionTick {
-		for ; due <= q.now; due += gap {
+	if q.due == 0 {
+		q.due = q.now
+	}
+	for ; q.now < until && ctx.Err() == nil; q.now += decisionTick {
+		for ; q.due <= q.now; q.due += gap {
 			q.land()
 		}
 		if len(q.round.Lookups) > 0 || len(q.ends) > 0 && q.ends[0].at <= q.now || q.wake > 0 && q.wake <= q.now {
