yokelab scale: what each role costs at growing sizes, beside the budgets of the design size

Real followers, list readers, decision modules, reports and pools without clients share a process; stewards are processes of the program. Each figure has its measurements, a least-squares slope with its standard error, the value at 3,600 gatherers or 28,000 servers, and the factor to the budget where there is one.

--- a/cmd/yokelab/main.go
+++ b/cmd/yokelab/main.go
@@ -31,7 +31,7 @@
 
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "yokelab", Short: "a gatherer at work, days of the emulator, experiments on loopback", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(demoCommand(), runCommand(), compareCommand(), sweepCommand(), huntCommand(), reportCommand(), replayCommand(), referenceCommand(), plansCommand(), phasesCommand(), rolloutsCommand(), policiesCommand(), fleetCommand())
+	root.AddCommand(demoCommand(), runCommand(), compareCommand(), sweepCommand(), huntCommand(), reportCommand(), replayCommand(), referenceCommand(), plansCommand(), phasesCommand(), rolloutsCommand(), policiesCommand(), fleetCommand(), scaleCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/scale/connections.go
@@ -0,0 +1,153 @@
+package scale
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"yokeroute/gather"
+	"yokeroute/internal/pick"
+	"yokeroute/internal/shardcall"
+)
+
+// ConnectionCost is what connections to shard servers cost a gatherer at rest.
+type ConnectionCost struct {
+	Connections int
+	Open        int     // that the pool holds
+	Bytes       float64 // heap and stacks of each, of the pool's side and of the far side together
+	Bare        float64 // the same of a bare connection, which nobody reads on the near side
+	Descriptors int     // of the near side
+}
+
+const connectionWait = 60 * time.Second
+
+// farSide takes connections and answers each part of a frame with one value.
+type farSide struct{ net.Listener }
+
+func startFarSide() (farSide, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return farSide{}, err
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answerParts(c)
+		}
+	}()
+	return farSide{l}, nil
+}
+
+// answerParts answers frames until the connection ends.
+func answerParts(c net.Conn) {
+	defer c.Close()
+	var head [4]byte
+	for {
+		if _, err := io.ReadFull(c, head[:]); err != nil {
+			return
+		}
+		body := make([]byte, binary.LittleEndian.Uint32(head[:]))
+		if _, err := io.ReadFull(c, body); err != nil {
+			return
+		}
+		id, _, found := strings.Cut(string(body[1:]), " ")
+		if !found { // a part that is given up
+			continue
+		}
+		answer := "A" + id + " ok 1 -\nv"
+		if _, err := c.Write(append(binary.LittleEndian.AppendUint32(nil, uint32(len(answer))), answer...)); err != nil {
+			return
+		}
+	}
+}
+
+// reporter hands the ends of part calls on.
+type reporter struct{ *pick.Picker }
+
+// Connections opens so many connections, to one shard server each, by one lookup, and measures them at rest.
+func Connections(ctx context.Context, count int) (c ConnectionCost, err error) {
+	if count < 1 {
+		return c, fmt.Errorf("connections: %d, at least 1 is needed", count)
+	}
+	far, err := startFarSide()
+	if err != nil {
+		return c, err
+	}
+	defer far.Close()
+	bare, err := bareConnections(far.Addr().String(), count)
+	if err != nil {
+		return c, err
+	}
+	c = ConnectionCost{Connections: count, Bare: bare, Descriptors: count}
+	before := memory()
+	pool, err := pooledConnections(ctx, far.Addr().String(), count)
+	if err != nil {
+		return c, err
+	}
+	c.Bytes = (memory() - before) / float64(count)
+	c.Open, _ = pool.Connections()
+	return c, nil
+}
+
+// bareConnections is the memory of a connection with nothing around it.
+func bareConnections(address string, count int) (float64, error) {
+	before := memory()
+	held := make([]net.Conn, 0, count)
+	defer func() {
+		for _, c := range held {
+			c.Close()
+		}
+	}()
+	for range count {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			return 0, err
+		}
+		held = append(held, c)
+	}
+	return (memory() - before) / float64(count), nil
+}
+
+// pooledConnections has a pool call so many servers.
+func pooledConnections(ctx context.Context, address string, count int) (*shardcall.Pool, error) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	terms := gather.Terms{"indexes": []string{"find"}, "groups": float64(count), "groups in a row": 1.0, "most calls": 1.0, "tick": 1.0,
+		"connect time-out": 10_000.0, "idle close": 3_600_000.0, "parts a call": 1.0, "streams": 100.0, "call off": true,
+		"find/soft deadline": 30_000.0, "find/hard deadline": 60_000.0, "find/whole from": 1.0, "find/least share": 1.0, "find/effect": "idempotent"}
+	picker := pick.New(1, terms, log)
+	pool := shardcall.New(terms, count, reporter{picker}, log)
+	list, addresses := gather.List{Full: true}, make([]shardcall.Address, count)
+	lk := &pick.Lookup{ID: "scale", Index: "find", GiveUpAt: picker.Now() + 60_000, Text: []byte("q")}
+	for i := range count {
+		addresses[i] = shardcall.Address{ID: uint32(i), Name: fmt.Sprint("s", i), HostPort: address}
+		list.Servers = append(list.Servers, gather.Server{ID: uint32(i), Group: i})
+		lk.Parts = append(lk.Parts, pick.Part{Shard: i, Weight: 1 / float64(count)})
+	}
+	pool.Follow(addresses)
+	picker.Follow(list)
+	ctx, stop := context.WithTimeout(ctx, connectionWait)
+	defer stop()
+	go func() {
+		for {
+			orders, err := picker.Tick(ctx)
+			if err != nil {
+				return
+			}
+			pool.Carry(orders)
+		}
+	}()
+	if v := picker.Pick(ctx, lk); v.Kind != pick.Satisfied {
+		return nil, fmt.Errorf("connections: the lookup over %d servers ended as %d", count, v.Kind)
+	}
+	return pool, nil
+}
--- /dev/null
+++ b/internal/scale/figures.go
@@ -0,0 +1,186 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// Progress is told of each measurement before it begins.
+type Progress func(format string, args ...any)
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// newFigure is a figure without measurements.
+func newFigure(name, per, unit string, design, budget float64) *Figure {
+	return &Figure{Name: name, Per: per, Unit: unit, Design: design, Budget: budget}
+}
+
+// fitted fits all figures.
+func fitted(figures ...*Figure) []Figure {
+	all := make([]Figure, 0, len(figures))
+	for _, f := range figures {
+		f.fit()
+		all = append(all, *f)
+	}
+	return all
+}
+
+// DecisionFigures measures the decisions at sizes of the fleet with the same parts a query, or at numbers of parts with
+// the same fleet where only one size is given.
+func DecisionFigures(ctx context.Context, t DecisionTerms, servers, parts []int, say Progress) ([]Figure, error) {
+	per, design := "server", float64(DesignServers)
+	if len(servers) == 1 {
+		per, design = "part", DesignParts
+	}
+	processor := newFigure("decisions: processor time a query", per, "ms", design, 0)
+	cores := newFigure("decisions: cores", per, "cores", design, 0)
+	allocated := newFigure("decisions: allocations a query", per, "", design, 0)
+	longest := newFigure("decisions: longest round", per, "ms", design, ms(BudgetAnswer))
+	landing := newFigure("decisions: round in which a query lands, p99", per, "ms", design, ms(BudgetAnswer))
+	memory := newFigure("decisions: heap", per, "MB", design, 0)
+	for _, s := range servers {
+		for _, p := range parts {
+			t.Servers, t.Parts = s, p
+			say("decisions: %d servers, %d parts a query, %.0f queries a second", s, p, t.Rate)
+			c, err := Decide(ctx, t)
+			if err != nil {
+				return nil, err
+			}
+			size := float64(s)
+			if per == "part" {
+				size = float64(p)
+			}
+			processor.add(size, ms(c.Processor))
+			cores.add(size, c.Processor.Seconds()*t.Rate)
+			allocated.add(size, c.Allocated)
+			longest.add(size, ms(c.Longest))
+			landing.add(size, ms(c.Late))
+			memory.add(size, float64(c.Live)/(1<<20))
+		}
+	}
+	return fitted(processor, cores, allocated, longest, landing, memory), nil
+}
+
+// PolicyFigures measures policies at numbers of gatherers, with one fault in each change.
+func PolicyFigures(ctx context.Context, t PolicyTerms, gatherers []int, folder func() (string, error), say Progress) ([]Figure, error) {
+	const per = "gatherer"
+	name := func(what string) string { return fmt.Sprintf("policy, %d stewards, %s: %s", t.Stewards, t.Fault, what) }
+	start := newFigure(name("start of all at once"), per, "s", DesignGatherers, 0)
+	leader := newFigure(name("leader at rest"), per, "cores", DesignGatherers, 0)
+	leaderMemory := newFigure(name("leader's memory"), per, "MB", DesignGatherers, 0)
+	each := newFigure(name("a gatherer at rest"), per, "cores", DesignGatherers, BudgetControlCPU)
+	bytes := newFigure(name("a gatherer's bytes at rest"), per, "B/s", DesignGatherers, BudgetControlBytes)
+	memory := newFigure(name("a gatherer's memory"), per, "MB", DesignGatherers, float64(BudgetControlMemory)/(1<<20))
+	middle := newFigure(name("in force, median gatherer"), per, "s", DesignGatherers, BudgetInForce.Seconds())
+	late := newFigure(name("in force, 99th percentile"), per, "s", DesignGatherers, BudgetInForce.Seconds())
+	last := newFigure(name("in force everywhere"), per, "s", DesignGatherers, BudgetInForce.Seconds())
+	unfinished := newFigure(name("changes not everywhere within 40 s"), per, "", DesignGatherers, 0)
+	changing := newFigure(name("leader during changes"), per, "cores", DesignGatherers, 0)
+	for _, n := range gatherers {
+		say("policies: %d stewards, %d hollow gatherers, %d changes, fault %s", t.Stewards, n, t.Changes, t.Fault)
+		var err error
+		if t.Folder, err = folder(); err != nil {
+			return nil, err
+		}
+		t.Gatherers = n
+		c, err := Policies(ctx, t)
+		if err != nil {
+			return nil, err
+		}
+		size := float64(n)
+		start.add(size, c.Start.Seconds())
+		if t.Rest > 0 {
+			leader.add(size, c.RestLeader)
+			leaderMemory.add(size, c.LeaderMB)
+			each.add(size, c.RestEach)
+			bytes.add(size, c.RestBytes)
+			memory.add(size, c.EachBytes/(1<<20))
+		}
+		for i := range c.InForce {
+			middle.add(size, c.P50[i].Seconds())
+			late.add(size, c.P99[i].Seconds())
+			last.add(size, c.InForce[i].Seconds())
+		}
+		if t.Changes > 0 {
+			unfinished.add(size, float64(c.Unfinished))
+			changing.add(size, c.ChangeCores)
+		}
+	}
+	return fitted(start, leader, leaderMemory, each, bytes, memory, middle, late, last, unfinished, changing), nil
+}
+
+// ListFigures measures the list of shard servers at sizes of the fleet.
+func ListFigures(ctx context.Context, servers []int, say Progress) ([]Figure, error) {
+	const per = "server"
+	figure := func(what, unit string, budget float64) *Figure {
+		return newFigure("list: "+what, per, unit, DesignServers, budget)
+	}
+	inForce := BudgetInForce.Seconds()
+	bytes, atBudget := figure("whole, bytes", "B", 0), figure("whole, time at 2 KB/s", "s", inForce)
+	zone, zoneAtBudget := figure("a zone, bytes", "B", 0), figure("a zone, time at 2 KB/s", "s", inForce)
+	startCPU, startTold := figure("start, processor time", "ms", 0), figure("start, until told", "s", inForce)
+	changeCPU, changeTold := figure("a change, processor time", "ms", 0), figure("a change, until told", "s", inForce)
+	zoneCPU, zoneTold := figure("a zone, processor time", "ms", 0), figure("a zone, until told", "s", inForce)
+	returned := figure("discovery's return, until told", "s", inForce)
+	memory := figure("memory", "MB", float64(BudgetControlMemory)/(1<<20))
+	for _, n := range servers {
+		say("lists: %d servers", n)
+		c, err := Lists(ctx, n)
+		if err != nil {
+			return nil, err
+		}
+		size := float64(n)
+		bytes.add(size, float64(c.WholeBytes))
+		atBudget.add(size, float64(c.WholeBytes)/BudgetControlBytes)
+		zone.add(size, float64(c.ZoneBytes))
+		zoneAtBudget.add(size, float64(c.ZoneBytes)/BudgetControlBytes)
+		startCPU.add(size, ms(c.StartCPU))
+		startTold.add(size, c.StartTold.Seconds())
+		changeCPU.add(size, ms(c.ChangeCPU))
+		changeTold.add(size, c.ChangeTold.Seconds())
+		zoneCPU.add(size, ms(c.ZoneCPU))
+		zoneTold.add(size, c.ZoneTold.Seconds())
+		returned.add(size, c.ReturnTold.Seconds())
+		memory.add(size, float64(c.Memory)/(1<<20))
+	}
+	return fitted(bytes, atBudget, zone, zoneAtBudget, startCPU, startTold, changeCPU, changeTold, zoneCPU, zoneTold, returned, memory), nil
+}
+
+// ConnectionFigures measures connections to shard servers at rest.
+func ConnectionFigures(ctx context.Context, counts []int, say Progress) ([]Figure, error) {
+	const per = "connection"
+	memory := newFigure("connections: memory of all, both sides", per, "MB", DesignServers, float64(BudgetControlMemory)/(1<<20))
+	bare := newFigure("connections: memory of all, bare", per, "MB", DesignServers, 0)
+	open := newFigure("connections: descriptors", per, "", DesignServers, 0)
+	for _, n := range counts {
+		say("connections: %d", n)
+		c, err := Connections(ctx, n)
+		if err != nil {
+			return nil, err
+		}
+		memory.add(float64(n), c.Bytes*float64(n)/(1<<20))
+		bare.add(float64(n), c.Bare*float64(n)/(1<<20))
+		open.add(float64(n), float64(c.Open))
+	}
+	return fitted(memory, bare, open), nil
+}
+
+// ReportFigures measures a round of questions for reports.
+func ReportFigures(ctx context.Context, gatherers []int, say Progress) ([]Figure, error) {
+	const per = "gatherer"
+	each := newFigure("reports: processor time of all, both sides", per, "ms", DesignGatherers, 0)
+	bytes := newFigure("reports: bytes of all", per, "B", DesignGatherers, 0)
+	took := newFigure("reports: time of a round", per, "s", DesignGatherers, 0)
+	for _, n := range gatherers {
+		say("reports: %d hollow gatherers", n)
+		c, err := Reports(ctx, n)
+		if err != nil {
+			return nil, err
+		}
+		each.add(float64(n), ms(c.Each)*float64(n))
+		bytes.add(float64(n), c.Bytes*float64(n))
+		took.add(float64(n), c.Took.Seconds())
+	}
+	return fitted(each, bytes, took), nil
+}
--- /dev/null
+++ b/internal/scale/lists.go
@@ -0,0 +1,163 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"yokeroute/gather"
+	"yokeroute/internal/discovery"
+	"yokeroute/internal/shardcall"
+	"yokeroute/internal/standin/directory"
+)
+
+// ListCost is what the list of shard servers costs one gatherer, over HTTP from a stand-in for discovery.
+type ListCost struct {
+	Servers     int
+	WholeBytes  int           // of the whole list
+	StartCPU    time.Duration // to read and take over the whole list, the stand-in's work included
+	StartTold   time.Duration
+	ChangeBytes int // of a change of one server
+	ChangeCPU   time.Duration
+	ChangeTold  time.Duration
+	ZoneBytes   int // of a change of one server in twelve
+	ZoneCPU     time.Duration
+	ZoneTold    time.Duration
+	ReturnTold  time.Duration // after discovery was silent
+	Memory      uint64        // that the list takes in a gatherer
+}
+
+// Of a list: a server's capacity and where one listens, and how long a measurement may wait for a list to be told.
+const (
+	listedPort   = 8000
+	listWait     = 60 * time.Second
+	listSilence  = 2 * time.Second
+	serversAZone = DesignZones // one in so many stands in the zone that is lost
+)
+
+// listMembers is a list of so many servers.
+func listMembers(servers int) []directory.Member {
+	members := make([]directory.Member, servers)
+	for i := range members {
+		members[i] = directory.Member{ID: fmt.Sprintf("s-%08x", uint32(i)*2654435761), HostPort: fmt.Sprintf("10.%d.%d.%d:%d", i>>16, i>>8&255, i&255, listedPort),
+			Locality: fmt.Sprintf("region-%d/zone-%d", i%DesignRegions, i%DesignZones), Flavor: "m2", Cell: i / 3, Phase: "in_service", Size: 1, UpSince: 1.7e12 + float64(i)}
+	}
+	return members
+}
+
+// listReader is the reader of one gatherer's list, with what it was told.
+type listReader struct {
+	told chan gather.List
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func startListReader(ctx context.Context, address string) *listReader {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &listReader{told: make(chan gather.List, 1024), done: make(chan struct{})}
+	follower := discovery.New(address, func(l gather.List, _ []shardcall.Address) {
+		if l.Full || len(l.Servers) > 0 {
+			r.told <- l
+		}
+	}, nil, log)
+	ctx, r.stop = context.WithCancel(ctx)
+	go func() {
+		defer close(r.done)
+		follower.Run(ctx)
+	}()
+	return r
+}
+
+// next waits until so many entries have been told.
+func (r *listReader) next(ctx context.Context, entries int) error {
+	limit := time.NewTimer(listWait)
+	defer limit.Stop()
+	for entries > 0 {
+		select {
+		case l := <-r.told:
+			entries -= len(l.Servers)
+		case <-limit.C:
+			return fmt.Errorf("lists: %d entries were not told within %s", entries, listWait)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// Lists measures what a list of so many servers costs.
+func Lists(ctx context.Context, servers int) (c ListCost, err error) {
+	if servers < serversAZone {
+		return c, fmt.Errorf("lists: %d servers, at least %d are needed", servers, serversAZone)
+	}
+	members := listMembers(servers)
+	c = ListCost{Servers: servers, WholeBytes: listBytes(members), ChangeBytes: listBytes(members[:1]), ZoneBytes: listBytes(members[:servers/serversAZone])}
+	agent, err := directory.Start(members)
+	if err != nil {
+		return c, err
+	}
+	defer agent.Close()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var reader *listReader
+	defer func() {
+		if reader != nil {
+			reader.stop()
+			<-reader.done
+		}
+	}()
+	step := func(entries int, do func()) (used, told time.Duration, err error) {
+		began, from := processorTime(), time.Now()
+		do()
+		err = reader.next(ctx, entries)
+		return processorTime() - began, time.Since(from), err
+	}
+	if c.StartCPU, c.StartTold, err = step(servers, func() { reader = startListReader(ctx, agent.Address()) }); err != nil {
+		return c, err
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	c.Memory = after.HeapAlloc - min(before.HeapAlloc, after.HeapAlloc)
+	drain := func(n int) func() {
+		changed := slices.Clone(members[:n])
+		for i := range changed {
+			changed[i].Phase = "terminating"
+		}
+		return func() { agent.Change(changed...) }
+	}
+	if c.ChangeCPU, c.ChangeTold, err = step(1, drain(1)); err != nil {
+		return c, err
+	}
+	zone := servers / serversAZone
+	if c.ZoneCPU, c.ZoneTold, err = step(zone, drain(zone)); err != nil {
+		return c, err
+	}
+	agent.Silence(true)
+	select {
+	case <-ctx.Done():
+		return c, ctx.Err()
+	case <-time.After(listSilence):
+	}
+	_, c.ReturnTold, err = step(1, func() {
+		agent.Silence(false)
+		agent.Change(members[servers-1])
+	})
+	return c, err
+}
+
+// listBytes is the length of an answer of discovery that holds the entries.
+func listBytes(members []directory.Member) int {
+	text, err := json.Marshal(members)
+	if err != nil {
+		return 0
+	}
+	return len(text) + len(`{"revision":1,"complete":true,"members":}`)
+}
--- /dev/null
+++ b/internal/scale/policies.go
@@ -0,0 +1,415 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"yokeroute/gather"
+	"yokeroute/internal/operator"
+	"yokeroute/internal/policy"
+	"yokeroute/internal/proc"
+	decisions "yokeroute/logic/policy"
+)
+
+// PolicyFault is what befalls the fleet while a change is made.
+type PolicyFault string
+
+// The faults.
+const (
+	NoFault       PolicyFault = "none"
+	LeaderKilled  PolicyFault = "leader-killed"
+	LeaderStopped PolicyFault = "leader-stopped" // by SIGSTOP
+	ManyKilled    PolicyFault = "many-killed"    // one gatherer in twelve, at once
+	OneKilled     PolicyFault = "one-killed"
+	OneEnded      PolicyFault = "one-ended" // a planned end
+)
+
+// PolicyFaults are all of them, in the order in which they are measured.
+var PolicyFaults = []PolicyFault{NoFault, OneKilled, OneEnded, ManyKilled, LeaderKilled, LeaderStopped}
+
+// PolicyTerms are stewards as processes and hollow gatherers in this one, which follow them over HTTP.
+type PolicyTerms struct {
+	Stewards  int
+	Gatherers int
+	Changes   int           // in a row
+	Rest      time.Duration // measured with nothing to do
+	Fault     PolicyFault   // in each change
+	Binary    string        // the gatherer's program, which holds the stewards as well
+	Folder    string        // for their state
+}
+
+// PolicyCost is what it came to.
+type PolicyCost struct {
+	Start       time.Duration // until all gatherers that started at once went by the stewards' word
+	RestLeader  float64       // cores of the steward that leads
+	RestEach    float64       // cores of one gatherer
+	RestBytes   float64       // read and written by one gatherer, a second
+	LeaderMB    float64
+	EachBytes   float64 // memory of one gatherer
+	InForce     []time.Duration
+	P50, P99    []time.Duration // of gatherers, by change
+	Unfinished  int             // changes that were given up, or not everywhere within the wait
+	ChangeCores float64         // of the leader while changes were made
+}
+
+// Times of the stewards of a scale test: those that operators' pages recommend.
+const (
+	stewardLease   = 10_000.0
+	stewardLimit   = 60_000.0
+	stewardBeat    = 100.0
+	longestChange  = 40 * time.Second
+	longestStart   = 90 * time.Second
+	manyShare      = 12 // one gatherer in so many
+	stewardPort    = 8700
+	stewardLogPort = 8701
+)
+
+// policyFleet is the stewards and the hollow gatherers of one measurement.
+type policyFleet struct {
+	terms    PolicyTerms
+	ctx      context.Context
+	stewards []*proc.Process
+	names    []operator.Steward
+	client   *policy.Client
+	hollow   []*hollowGatherer
+	log      *logrus.Logger
+}
+
+// hollowGatherer is the control side of a gatherer without clients: the real governor and the real follower.
+type hollowGatherer struct {
+	governor *policy.Governor
+	stop     context.CancelFunc
+	ended    chan struct{}
+
+	mu    sync.Mutex
+	epoch uint64    // that it has come to
+	at    time.Time // when
+}
+
+// loopbackAddress is a loopback address for one steward of this process; processes don't share any.
+func loopbackAddress(steward int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+(pid>>8)%64, pid%256, 1+steward)
+}
+
+// startPolicyFleet starts the stewards and waits until one leads.
+func startPolicyFleet(ctx context.Context, t PolicyTerms) (*policyFleet, error) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := &policyFleet{terms: t, ctx: ctx, client: &policy.Client{}, log: log}
+	var peers strings.Builder
+	for i := range t.Stewards {
+		name, host := fmt.Sprint("s", i+1), loopbackAddress(i)
+		address := fmt.Sprintf("%s:%d", host, stewardPort)
+		f.names = append(f.names, operator.Steward{Name: name, Address: address})
+		f.client.Stewards = append(f.client.Stewards, address)
+		fmt.Fprintf(&peers, "peer %s raft %s:%d http %s\n", name, host, stewardLogPort, address)
+	}
+	for i, s := range f.names {
+		file := filepath.Join(t.Folder, s.Name+".conf")
+		text := fmt.Sprintf("steward %s in %s-state listen %s raft %s:%d\nlease %gms limit %gms\nbeat %gms\n%s", s.Name, s.Name, s.Address,
+			loopbackAddress(i), stewardLogPort, stewardLease, stewardLimit, stewardBeat, peers.String())
+		if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+			return f, err
+		}
+		p, err := proc.Start(s.Name, t.Binary, []string{"steward", "--log-level", "error", file}, nil)
+		if err != nil {
+			return f, err
+		}
+		f.stewards = append(f.stewards, p)
+	}
+	waiting, cancel := context.WithTimeout(ctx, longestStart)
+	defer cancel()
+	return f, proc.Until(waiting, "a steward leads", func() bool {
+		one, end := context.WithTimeout(waiting, 2*time.Second)
+		defer end()
+		_, err := f.client.Status(one)
+		return err == nil
+	})
+}
+
+// close ends all of it.
+func (f *policyFleet) close() {
+	for _, h := range f.hollow {
+		h.end()
+	}
+	for _, p := range f.stewards {
+		if p.Stopped() {
+			p.Continue()
+		}
+		p.Kill()
+	}
+}
+
+// leader is the process of the steward that leads.
+func (f *policyFleet) leader() (*proc.Process, error) {
+	s, err := f.client.Status(f.ctx)
+	if err != nil {
+		return nil, err
+	}
+	for i, n := range f.names {
+		if n.Name == s.Steward {
+			return f.stewards[i], nil
+		}
+	}
+	return nil, fmt.Errorf("no steward is named %s", s.Steward)
+}
+
+// hollowFloor forbids what the policies of a scale test may.
+var hollowFloor = decisions.Policy{{Kind: decisions.NoCopies}}
+
+// startHollow starts one gatherer's control side.
+func (f *policyFleet) startHollow(number int) *hollowGatherer {
+	start := time.Now()
+	clock := func() float64 { return float64(time.Since(start)) / 1e6 }
+	h := &hollowGatherer{ended: make(chan struct{})}
+	h.governor = policy.NewGovernor(gather.Terms{}, hollowFloor, decisions.Fence{}, clock, func() { h.changed(clock()) })
+	me := decisions.Hello{Member: decisions.Member{Name: fmt.Sprintf("g%05d", number), Zone: fmt.Sprint("z", number%DesignZones), Floor: hollowFloor},
+		Process: fmt.Sprintf("%d-%d", number, start.UnixNano())}
+	follower := policy.NewFollower(h.governor, f.names, me, "", f.log)
+	ctx, stop := context.WithCancel(f.ctx)
+	h.stop = stop
+	go func() {
+		defer close(h.ended)
+		follower.Run(ctx)
+	}()
+	return h
+}
+
+// changed notes how far the gatherer has come, and settles: it has no lookups in hand.
+func (h *hollowGatherer) changed(now float64) {
+	way, _ := h.governor.Acts(now)
+	h.governor.Settle(way)
+	state := h.governor.State()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if state.Holds.Epoch > h.epoch && state.Holds.Change == 0 {
+		h.epoch, h.at = state.Holds.Epoch, time.Now()
+	}
+}
+
+// end ends it as a crash does: nothing is given back.
+func (h *hollowGatherer) end() {
+	h.stop()
+	<-h.ended
+}
+
+// reached reports whether it has come to an epoch, and when.
+func (h *hollowGatherer) reached(epoch uint64) (time.Time, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.at, h.epoch >= epoch
+}
+
+// leased reports whether it goes by the stewards' word.
+func (h *hollowGatherer) leased() bool { return h.governor.State().Until > 0 }
+
+// change proposes a policy, does what befalls the fleet, and waits until the policy is in force at all that are left.
+func (f *policyFleet) change(number int) (times []time.Duration, err error) {
+	status, err := f.client.Status(f.ctx)
+	if err != nil {
+		return nil, err
+	}
+	var p decisions.Policy
+	if number%2 == 0 {
+		p = hollowFloor
+	}
+	waiting, cancel := context.WithTimeout(f.ctx, longestChange)
+	defer cancel()
+	proposed := time.Now()
+	change, err := f.client.Propose(waiting, "", status.Record.Epoch, p, "scale")
+	if err != nil {
+		return nil, err
+	}
+	undo, err := f.befall(number)
+	if err != nil {
+		return nil, err
+	}
+	defer undo()
+	err = proc.Until(waiting, "the change is in force everywhere", func() bool {
+		for _, h := range f.hollow {
+			if _, there := h.reached(change.Number); !there {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		return nil, err
+	}
+	for _, h := range f.hollow {
+		at, _ := h.reached(change.Number)
+		times = append(times, at.Sub(proposed))
+	}
+	return times, nil
+}
+
+// befall brings the fault about; what it gives undoes it once the change is over.
+func (f *policyFleet) befall(number int) (undo func(), err error) {
+	undo = func() {}
+	switch f.terms.Fault {
+	case LeaderKilled, LeaderStopped:
+		leader, err := f.leader()
+		if err != nil {
+			return undo, err
+		}
+		if f.terms.Fault == LeaderStopped {
+			return func() { leader.Continue() }, leader.Stop(f.ctx)
+		}
+		leader.Kill()
+		return undo, nil
+	case OneKilled, OneEnded:
+		return f.crash(number, 1), nil
+	case ManyKilled:
+		return f.crash(number, max(len(f.hollow)/manyShare, 1)), nil
+	}
+	return undo, nil
+}
+
+// crash ends gatherers; undo starts others in their place.
+func (f *policyFleet) crash(number, many int) (undo func()) {
+	gone := f.hollow[:many]
+	f.hollow = f.hollow[many:]
+	var wait sync.WaitGroup
+	for _, h := range gone {
+		wait.Go(h.end)
+	}
+	wait.Wait()
+	return func() {
+		for i := range gone {
+			f.hollow = append(f.hollow, f.startHollow(100_000*(number+1)+i))
+		}
+		f.awaitLeases()
+	}
+}
+
+// awaitLeases waits until all gatherers go by the stewards' word.
+func (f *policyFleet) awaitLeases() error {
+	waiting, cancel := context.WithTimeout(f.ctx, longestStart)
+	defer cancel()
+	return proc.Until(waiting, "all gatherers go by the stewards' word", func() bool {
+		for _, h := range f.hollow {
+			if !h.leased() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Policies measures what the policies of a whole fleet cost at rest and while they change.
+func Policies(ctx context.Context, t PolicyTerms) (c PolicyCost, err error) {
+	if t.Stewards < 1 || t.Stewards > 9 || t.Gatherers < 1 || t.Changes < 0 {
+		return c, fmt.Errorf("policies: %d stewards, %d gatherers, %d changes: 1 to 9, at least 1 and at least 0 can be", t.Stewards, t.Gatherers, t.Changes)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f, err := startPolicyFleet(ctx, t)
+	defer func() { f.close() }()
+	if err != nil {
+		return c, err
+	}
+	before := memory()
+	began := time.Now()
+	for i := range t.Gatherers {
+		f.hollow = append(f.hollow, f.startHollow(i))
+	}
+	if err := f.awaitLeases(); err != nil {
+		return c, err
+	}
+	c.Start = time.Since(began)
+	if err := f.rest(&c, before); err != nil {
+		return c, err
+	}
+	return c, f.changes(&c)
+}
+
+// rest measures the fleet with nothing to do.
+func (f *policyFleet) rest(c *PolicyCost, before float64) error {
+	if f.terms.Rest <= 0 {
+		return nil
+	}
+	leader, err := f.leader()
+	if err != nil {
+		return err
+	}
+	n := float64(len(f.hollow))
+	used, own, bytes, began := leader.Use(), processorTime(), transferred(), time.Now()
+	select {
+	case <-f.ctx.Done():
+		return f.ctx.Err()
+	case <-time.After(f.terms.Rest):
+	}
+	seconds := time.Since(began).Seconds()
+	after := leader.Use()
+	c.RestLeader, c.LeaderMB = (after.CPU-used.CPU)/seconds, after.Memory
+	c.RestEach = (processorTime() - own).Seconds() / seconds / n
+	c.RestBytes = (transferred() - bytes) / seconds / n
+	c.EachBytes = (memory() - before) / n
+	return nil
+}
+
+// changes makes the changes, one behind the other.
+func (f *policyFleet) changes(c *PolicyCost) error {
+	if f.terms.Changes == 0 {
+		return nil
+	}
+	leader, err := f.leader()
+	if err != nil {
+		return err
+	}
+	used, began := leader.Use(), time.Now()
+	for number := range f.terms.Changes {
+		times, err := f.change(number)
+		if f.ctx.Err() != nil {
+			return f.ctx.Err()
+		}
+		if errors.Is(err, context.DeadlineExceeded) {
+			c.Unfinished++
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		c.note(times)
+		if f.terms.Fault == LeaderKilled {
+			break // the next one would have to wait for a steward that nobody starts
+		}
+	}
+	if leader.Alive() && !leader.Stopped() {
+		c.ChangeCores = (leader.Use().CPU - used.CPU) / time.Since(began).Seconds()
+	}
+	return nil
+}
+
+// note books when a change was in force at each gatherer.
+func (c *PolicyCost) note(times []time.Duration) {
+	seconds := make([]float64, 0, len(times))
+	for _, t := range times {
+		seconds = append(seconds, t.Seconds())
+	}
+	at := func(share float64) time.Duration {
+		return time.Duration(quantile(seconds, share) * float64(time.Second))
+	}
+	c.InForce, c.P50, c.P99 = append(c.InForce, at(1)), append(c.P50, at(0.5)), append(c.P99, at(0.99))
+}
+
+// transferred is how many bytes this process has read and written so far.
+func transferred() float64 {
+	text, err := os.ReadFile("/proc/self/io")
+	if err != nil {
+		return 0
+	}
+	read, written := 0.0, 0.0
+	fmt.Sscanf(string(text), "rchar: %f\nwchar: %f", &read, &written)
+	return read + written
+}
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -59,6 +59,14 @@
 	return Cost{used, after.Mallocs - before.Mallocs, after.TotalAlloc - before.TotalAlloc, live.HeapAlloc}
 }
 
+// memory is what this process holds of heap and stacks, once collected. What the kernel holds for it is not counted.
+func memory() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
 // processorTime is what this process has used so far, in user and system mode.
 func processorTime() time.Duration {
 	var u syscall.Rusage
