A steward answers a waiting question when a change is decided

Seen: 100 and 300 hollow gatherers, three stewards on loopback: a change in force after 2.01 to 6.14 s, steps of the 2 s that a question waits.

Cause: steward/http.go ask compared Refuses with the change under way also where both are 0: "refuses nothing" equalled "no change is left", so that the word of a decision went out only when the wait was over. Ruled out: the log (a change is applied within some ms) and the desk (it decides at the last prepared question).

Change: policy.Word.News says what is news for whom, one table tests it, and the model in virtual time goes by it too.

--- a/internal/policy/emulated/fleet.go
+++ b/internal/policy/emulated/fleet.go
@@ -326,7 +326,7 @@
 	w := &waiting{g: g, number: number, hello: hello, process: g.process, asked: asked}
 	w.lease = f.desk.Hear(f.now, hello).Lease
 	f.decide()
-	if told := f.record.Word(); told.Fence() != hello.Holds {
+	if told := f.record.Word(); told.News(hello) {
 		f.answer(w)
 		return
 	}
--- a/internal/steward/http.go
+++ b/internal/steward/http.go
@@ -99,7 +99,7 @@
 		rec, news := s.machine.now()
 		word = rec.Word()
 		word.Lease, word.Refused = lease, refused
-		if now := word.Fence(); now != a.Hello.Holds && a.Hello.Refuses != now.Change || lease == 0 {
+		if word.News(a.Hello) || lease == 0 {
 			break
 		}
 		select {
--- a/logic/policy/holder.go
+++ b/logic/policy/holder.go
@@ -21,6 +21,14 @@
 	return f
 }
 
+// News reports whether a word holds what a gatherer has not come to yet. A change that it refuses is none: it would ask
+// again at once.
+func (w *Word) News(h Hello) bool {
+	now := w.Fence()
+	refused := h.Refuses > 0 && h.Refuses == now.Change
+	return now != h.Holds && !refused
+}
+
 // Fence is how far a gatherer has come: what it may never go back behind. It outlasts the process where
 // there is a disk; without one a gatherer that starts anew begins at its floor, which needs none.
 type Fence struct {
--- a/logic/policy/policy_test.go
+++ b/logic/policy/policy_test.go
@@ -336,3 +336,27 @@
 		d.Decide(2)
 	}
 }
+
+// TestNews: a question that waits is answered when a change is proposed, decided or given up, and not for a change that
+// its gatherer refuses. One whose gatherer refuses nothing was not answered when no change was left.
+func TestNews(t *testing.T) {
+	change := &Change{Number: 8}
+	for name, c := range map[string]struct {
+		word  Word
+		hello Hello
+		want  bool
+	}{
+		"nothing":            {Word{Epoch: 7, Last: 7}, Hello{Holds: Fence{Epoch: 7, Last: 7}}, false},
+		"proposed":           {Word{Epoch: 7, Last: 7, Change: change}, Hello{Holds: Fence{Epoch: 7, Last: 7}}, true},
+		"prepared":           {Word{Epoch: 7, Last: 7, Change: change}, Hello{Holds: Fence{Epoch: 7, Last: 7, Change: 8}}, false},
+		"decided":            {Word{Epoch: 8, Last: 8}, Hello{Holds: Fence{Epoch: 7, Last: 7, Change: 8}}, true},
+		"given up":           {Word{Epoch: 7, Last: 8}, Hello{Holds: Fence{Epoch: 7, Last: 7, Change: 8}}, true},
+		"refused":            {Word{Epoch: 7, Last: 7, Change: change}, Hello{Holds: Fence{Epoch: 7, Last: 7}, Refuses: 8}, false},
+		"decided for others": {Word{Epoch: 8, Last: 8}, Hello{Holds: Fence{Epoch: 7, Last: 7}, Refuses: 8}, true},
+		"given up, refused":  {Word{Epoch: 7, Last: 8}, Hello{Holds: Fence{Epoch: 7, Last: 7}, Refuses: 8}, true},
+	} {
+		if c.word.News(c.hello) != c.want {
+			t.Errorf("%s: news %v", name, !c.want)
+		}
+	}
+}
