The list of 28,000 servers is read, and one over a bound is told at error level

Cause: discovery/follow.go mostBody was 4 MiB; a whole list of 28,000 entries, one a line, has 5 MB, so that it was refused at each call and a gatherer that starts with it never served.

Change: 32 MiB and 100,000 entries; an answer over them is told once at error level with the bound, and the list in force stays. Tests: TestDesignSize and TestOverBound fail without it.

Also shown, and sound: TestNumbersAlike, two names that come to one 32-bit number are two servers through an end and a return; the later one's number moves on at this gatherer alone, which takes turns and nothing else by it.

--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"yokeroute/gather"
 	"yokeroute/internal/shardcall"
@@ -470,3 +471,140 @@
 		t.Errorf("asked for %q, then for %q", first, second)
 	}
 }
+
+// fleetList is a whole list of so many servers, an entry a line.
+func fleetList(servers int) string {
+	var b strings.Builder
+	b.WriteString(`{"revision":44,"complete":true,"members":[`)
+	for i := range servers {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "\n{\"id\":\"s-%08x\",\"host_port\":\"10.%d.%d.%d:8000\",\"locality\":\"region-%d/zone-%d\",\"flavor\":\"m2\",\"cell\":%d,\"phase\":\"in_service\",\"size\":1.0,\"up_since_ms\":1764650000000}",
+			i, i>>16, i>>8&255, i&255, i%3, i%12, i/3)
+	}
+	b.WriteString("]}")
+	return b.String()
+}
+
+// TestDesignSize: the list of the largest fleet that is planned for is read; it was over the bound, and such a gatherer
+// never served.
+func TestDesignSize(t *testing.T) {
+	const servers = 28_000
+	text := fleetList(servers)
+	if len(text) <= 4<<20 {
+		t.Errorf("a list of %d bytes shows nothing", len(text))
+	}
+	_, told := follow(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "" {
+			<-r.Context().Done()
+			return
+		}
+		io.WriteString(w, text)
+	})
+	if l := next(t, told); len(l.Servers) != servers {
+		t.Errorf("%d servers were told", len(l.Servers))
+	}
+}
+
+// TestOverBound: a list over the bound is told at error level, once, and the one before stays in force.
+func TestOverBound(t *testing.T) {
+	text := fleetList(mostMembers + 1)
+	var calls atomic.Int32
+	again := make(chan struct{})
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch n := calls.Add(1); {
+		case n == 1:
+			io.WriteString(w, whole)
+		case n > 4:
+			<-r.Context().Done()
+		default:
+			if n == 4 {
+				close(again)
+			}
+			io.WriteString(w, text)
+		}
+	}))
+	defer agent.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	said := logtest.NewLocal(log)
+	told := make(chan []shardcall.Address, 100)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	f := New(strings.TrimPrefix(agent.URL, "http://"), func(_ gather.List, all []shardcall.Address) { told <- all }, nil, log)
+	go func() { f.Run(ctx); close(ended) }()
+	<-again
+	stop()
+	agent.CloseClientConnections()
+	<-ended
+	for range len(told) {
+		if all := <-told; len(all) != 2 {
+			t.Errorf("%d servers are held", len(all))
+		}
+	}
+	errors := 0
+	for _, e := range said.AllEntries() {
+		if e.Level == logrus.ErrorLevel {
+			errors++
+			if text := fmt.Sprint(e.Data["error"]); !strings.Contains(text, fmt.Sprint(mostMembers)) {
+				t.Errorf("said %q", text)
+			}
+		}
+	}
+	if errors != 1 {
+		t.Errorf("said %d times at error level", errors)
+	}
+}
+
+// TestNumbersAlike: two names that come to one number are two servers, through an end, a return and a name whose own
+// number has been given away.
+func TestNumbersAlike(t *testing.T) {
+	const first, second, third = "s-0000002a", "t-0000002a", "s-0000002b"
+	if Number(first) != Number(second) || Number(third) != Number(first)+1 {
+		t.Fatal("they are not alike")
+	}
+	held := map[string]uint32{}
+	f := New("127.0.0.1:1", func(_ gather.List, all []shardcall.Address) {
+		clear(held)
+		for _, a := range all {
+			if a.HostPort != a.Name+":1" {
+				t.Errorf("%s is at %s", a.Name, a.HostPort)
+			}
+			held[a.Name] = a.ID
+		}
+	}, nil, logrus.New())
+	revision := 0
+	take := func(complete bool, phase string, names ...string) {
+		revision++
+		var entries []string
+		for _, name := range names {
+			entries = append(entries, fmt.Sprintf(`{"id":"%s","host_port":"%s:1","cell":0,"phase":"%s"}`, name, name, phase))
+		}
+		r, err := Parse(fmt.Appendf(nil, `{"revision":%d,"complete":%t,"members":[%s]}`, revision, complete, strings.Join(entries, ",")))
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Take(r)
+		numbers := map[uint32]bool{}
+		for _, id := range held {
+			numbers[id] = true
+		}
+		if len(numbers) != len(held) {
+			t.Errorf("after %v: %v", names, held)
+		}
+	}
+	take(true, "in_service", first, second, third)
+	if len(held) != 3 {
+		t.Errorf("held %v", held)
+	}
+	before := held[second]
+	take(false, "terminated", first)
+	if _, there := held[first]; there || held[second] != before {
+		t.Errorf("held %v", held)
+	}
+	take(false, "in_service", first)
+	if len(held) != 3 || held[second] != before {
+		t.Errorf("held %v", held)
+	}
+}
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -45,7 +45,10 @@
 	wholeChange = 3 * time.Second
 	wholeList   = 10 * time.Second
 
-	mostBody = 4 << 20
+	// Bounds of an answer, against reading without end from what is no discovery: three times the entries of the largest
+	// fleet that is planned for, 28,000, at up to three hundred bytes each.
+	mostMembers = 100_000
+	mostBody    = 32 << 20
 	// What was told of servers that are gone by now is kept of so many, against a list that is behind.
 	mostGone = 1024
 )
@@ -269,8 +272,11 @@
 			return
 		}
 		level := logrus.WarnLevel
-		if down { // said already, against a line a second while it is down
+		switch {
+		case down: // said already, against a line a second while it is down
 			level = logrus.DebugLevel
+		case errors.Is(err, errOverBound): // it will not pass by itself
+			level = logrus.ErrorLevel
 		}
 		f.log.WithError(err).Log(level, "discovery does not answer; the last list stays in force")
 		f.tell(gather.List{Failed: true}, f.all())
@@ -440,6 +446,9 @@
 	}
 }
 
+// errOverBound is an answer that is larger than any fleet's; nothing of it is taken over.
+var errOverBound = errors.New("over the bound")
+
 var errSilent = errors.New("no answer")
 
 // get makes one call. Its answer has to begin within the time that the transport gives it, to go on without a stall and
@@ -470,7 +479,7 @@
 	case err != nil:
 		return nil, fmt.Errorf("answer cut after %d bytes: %w", len(body), err)
 	case len(body) > mostBody:
-		return nil, fmt.Errorf("answer of over %d bytes", mostBody)
+		return nil, fmt.Errorf("%w: an answer of over %d bytes", errOverBound, mostBody)
 	case resp.StatusCode != http.StatusOK:
 		return nil, fmt.Errorf("discovery answers %s", resp.Status)
 	}
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -62,6 +62,9 @@
 	if wire.Revision == nil {
 		return nil, errors.New("no revision")
 	}
+	if len(wire.Members) > mostMembers {
+		return nil, fmt.Errorf("%w: members: %d entries, at most %d can be", errOverBound, len(wire.Members), mostMembers)
+	}
 	for i, m := range wire.Members {
 		state, known := phases[m.Phase]
 		switch {
