--- a/cmd/yokelab/policies.go
+++ b/cmd/yokelab/policies.go
@@ -20,13 +20,14 @@
 	DecideP50, DecideP99, AllP50, AllP99 float64 // milliseconds
 	RestAsked, BusyAsked                 float64 // questions a second, to the steward that leads
 	RestBytes, BusyBytes                 float64
-	First                                string // what was wrong
+	InTime                               float64 // share of the decided changes that held everywhere within the time asked for
+	First                                string  // what was wrong
 }
 
 func policiesCommand() *cobra.Command {
 	terms := emulated.Terms{}
 	var count, workers int
-	var seconds, lease, limit float64
+	var seconds, lease, limit, within float64
 	var form string
 	cmd := &cobra.Command{Use: "policies", Short: "play changes of policy over an emulated fleet, and check that none ever holds in part", Args: cobra.NoArgs,
 		Example: "  yokelab policies --runs 1000 --gatherers 12 --troubles 8 --leads 3 --lookups 8\n  yokelab policies --runs 4 --gatherers 3000 --away 0.05",
@@ -35,16 +36,16 @@
 				return fmt.Errorf("--runs %d, --gatherers %d, --away %g: at least 1, 1 and 0 to under 1 are needed", count, terms.Gatherers, terms.Away)
 			}
 			terms.Length, terms.Lease, terms.Limit = seconds*1000, lease*1000, limit*1000
-			row := manyPolicies(terms, count, workers)
+			row := manyPolicies(terms, count, workers, within*1000)
 			if form == "json" {
 				if err := json.NewEncoder(cmd.OutOrStdout()).Encode(row); err != nil {
 					return err
 				}
 			} else {
 				t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
-				fmt.Fprintln(t, "gatherers\thistories\twrong\tproposed\tdecided\tgiven up\tto decide, p50, p99 s\tto hold everywhere\tquestions/s at rest, in a change\tkB/s")
-				fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%d\t%.2f, %.2f\t%.2f, %.2f\t%.0f, %.0f\t%.0f, %.0f\n", row.Gatherers, row.Runs, row.Wrong, row.Proposed, row.Decided, row.GivenUp, row.DecideP50/1000, row.DecideP99/1000, row.AllP50/1000, row.AllP99/1000,
-					row.RestAsked, row.BusyAsked, row.RestBytes/1000, row.BusyBytes/1000)
+				fmt.Fprintf(t, "gatherers\thistories\twrong\tproposed\tdecided\tgiven up\tto decide, p50, p99 s\tto hold everywhere\tquestions/s at rest, in a change\tkB/s\twithin %g s\n", within)
+				fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%d\t%.2f, %.2f\t%.2f, %.2f\t%.0f, %.0f\t%.0f, %.0f\t%.3f\n", row.Gatherers, row.Runs, row.Wrong, row.Proposed, row.Decided, row.GivenUp, row.DecideP50/1000, row.DecideP99/1000, row.AllP50/1000, row.AllP99/1000,
+					row.RestAsked, row.BusyAsked, row.RestBytes/1000, row.BusyBytes/1000, row.InTime)
 				if err := t.Flush(); err != nil {
 					return err
 				}
@@ -63,6 +64,8 @@
 	cmd.Flags().Float64Var(&limit, "limit", 60, "seconds after which a change is given up")
 	cmd.Flags().Float64Var(&terms.Away, "away", 0, "share of the gatherers that is never there")
 	cmd.Flags().IntVar(&terms.Flapping, "flapping", 0, "gatherers that start anew each second")
+	cmd.Flags().Float64Var(&terms.Restarts, "restarts", 0, "gatherers of the fleet that are killed and started again, a day")
+	cmd.Flags().Float64Var(&within, "within", 6, "seconds in which a change should hold everywhere")
 	cmd.Flags().Float64Var(&terms.Troubles, "troubles", 0, "of each gatherer in a history")
 	cmd.Flags().IntVar(&terms.Leads, "leads", 0, "times that the stewards' lead moves in a history")
 	cmd.Flags().Float64Var(&terms.Lookups, "lookups", 0, "a second, of each gatherer")
@@ -74,7 +77,7 @@
 }
 
 // manyPolicies plays histories with the seeds from one on.
-func manyPolicies(t emulated.Terms, count, workers int) policyRow {
+func manyPolicies(t emulated.Terms, count, workers int, within float64) policyRow {
 	outs := runs.Each(count, workers, func(i int) emulated.Outcome {
 		one := t
 		one.Seed += uint64(i)
@@ -94,6 +97,11 @@
 		row.RestAsked, row.BusyAsked = row.RestAsked+o.RestRate/n, row.BusyAsked+o.BusyRate/n
 		row.RestBytes, row.BusyBytes = row.RestBytes+o.RestBytes/n, row.BusyBytes+o.BusyBytes/n
 	}
+	for _, took := range all {
+		if took <= within {
+			row.InTime += 1 / float64(len(all))
+		}
+	}
 	at := func(values []float64, share float64) float64 {
 		if len(values) == 0 {
 			return 0
--- a/internal/policy/emulated/fleet.go
+++ b/internal/policy/emulated/fleet.go
@@ -28,6 +28,7 @@
 	Limit     float64 // 60 s unless told
 	Away      float64 // share of the gatherers that is never there after the start
 	Flapping  int     // gatherers that start anew each second
+	Restarts  float64 // a day over the fleet: killed, and back some seconds later with its disk
 	Troubles  float64 // of each gatherer, on average over the time
 	Leads     int     // times that the lead moves
 	Lookups   float64 // a second, of each gatherer
@@ -173,6 +174,9 @@
 	for range t.Leads {
 		f.in(t.Length*f.chance.Float64(), f.lose)
 	}
+	if t.Restarts > 0 {
+		f.in(f.gap(millisecondsADay/t.Restarts), f.restart)
+	}
 	f.in(0, f.look)
 	for len(f.q) > 0 && f.out.Wrong == "" {
 		e := heap.Pop(&f.q).(event)
@@ -274,6 +278,28 @@
 	}
 }
 
+const (
+	millisecondsADay = 86_400_000.0
+	leastAway        = 1000.0 // of a gatherer that restarts,
+	awayRange        = 4000.0 // and up to so much longer
+)
+
+// restart has one gatherer of the fleet killed and started again, and draws the next one.
+func (f *fleet) restart() {
+	f.in(f.gap(millisecondsADay/f.t.Restarts), f.restart)
+	g := f.all[int(f.chance.Uint32()>>1)%len(f.all)]
+	if !g.up {
+		return
+	}
+	g.up = false
+	g.process++
+	f.in(leastAway+awayRange*f.chance.Float64(), func() {
+		if !g.up {
+			f.start(g, g.disk)
+		}
+	})
+}
+
 // way is how long a message takes; false where it is lost.
 func (f *fleet) way(g *gatherer, side int) (float64, bool) {
 	if f.now < g.cut[side] || f.chance.Float64() < 0.002 {
