Records wait in blocks: no round stands still while a long queue is moved

Cause: the queue of the window's 490,000 records grew by copying itself, and moved its second half to the front when the first was used up.

--- a/logic/records/records.go
+++ b/logic/records/records.go
@@ -212,23 +212,40 @@
 	}
 }
 
-// queue is entries by time, the oldest first.
+// blockLength is how many entries of a queue lie together, against moving all of a long one when it grows.
+const blockLength = 1024
+
+// queue is entries by time, the oldest first, in blocks of which only the last may have room.
 type queue struct {
-	entries []entry
-	from    int
+	blocks [][]entry
+	from   int     // the oldest one's place in the first block
+	spare  []entry // a block that has been emptied
+	count  int
 }
 
-func (q *queue) empty() bool   { return q.from == len(q.entries) }
-func (q *queue) first() *entry { return &q.entries[q.from] }
-func (q *queue) push(e entry)  { q.entries = append(q.entries, e) }
+func (q *queue) empty() bool   { return q.count == 0 }
+func (q *queue) first() *entry { return &q.blocks[0][q.from] }
+
+func (q *queue) push(e entry) {
+	last := len(q.blocks) - 1
+	if last < 0 || len(q.blocks[last]) == blockLength {
+		if q.spare == nil {
+			q.spare = make([]entry, 0, blockLength)
+		}
+		q.blocks, q.spare = append(q.blocks, q.spare), nil
+		last++
+	}
+	q.blocks[last] = append(q.blocks[last], e)
+	q.count++
+}
 
-// pop takes the oldest; room that was used is used again once it is half of all.
+// pop takes the oldest.
 func (q *queue) pop() entry {
-	e := q.entries[q.from]
+	e := q.blocks[0][q.from]
 	q.from++
-	if q.from*2 >= len(q.entries) {
-		n := copy(q.entries, q.entries[q.from:])
-		q.entries, q.from = q.entries[:n], 0
+	q.count--
+	if q.from == len(q.blocks[0]) {
+		q.spare, q.blocks, q.from = q.blocks[0][:0], q.blocks[1:], 0
 	}
 	return e
 }
@@ -236,9 +253,15 @@
 // newest gives all entries, the newest first.
 func (q *queue) newest() func(yield func(*entry) bool) {
 	return func(yield func(*entry) bool) {
-		for i := len(q.entries) - 1; i >= q.from; i-- {
-			if !yield(&q.entries[i]) {
-				return
+		for b := len(q.blocks) - 1; b >= 0; b-- {
+			oldest := 0
+			if b == 0 {
+				oldest = q.from
+			}
+			for i := len(q.blocks[b]) - 1; i >= oldest; i-- {
+				if !yield(&q.blocks[b][i]) {
+					return
+				}
 			}
 		}
 	}
--- a/logic/records/records_test.go
+++ b/logic/records/records_test.go
@@ -103,15 +103,15 @@
 		table.Add(i%10, Record{At: now, Latency: float64(i % 7), Weight: 1, Passed: true})
 		table.Advance(now)
 	}
-	if n := cap(table.window.entries); n > 1000 {
-		t.Errorf("the window holds room for %d records", n)
+	if n := len(table.window.blocks); table.window.count != 100 || n > 2 {
+		t.Errorf("the window holds %d records in %d blocks", table.window.count, n)
 	}
 	if n := table.median.Len(); n != 100 {
 		t.Errorf("the median is of %d records", n)
 	}
 	table.Advance(now + 1000)
 	if !table.window.empty() || !table.beyond.empty() || table.median.Len() > 0 {
-		t.Errorf("records are left: %d in the window, %d beyond", len(table.window.entries), len(table.beyond.entries))
+		t.Errorf("records are left: %d in the window, %d beyond", table.window.count, table.beyond.count)
 	}
 }
 
