A part's turn is looked up without comparing each replica with each

Seen by yokelab scale decisions with 640 groups of 43 replicas at 28,000 servers, 640 parts a query (the other layout that the design size allows): 23.3 ms a query, 3.6 cores, longest round 95 ms, over the 58 ms that an answer may take. Profile: peek 84%, standsOut 55%.

Cause: standsOut looks for the least doubt among a group's replicas each time, and peek asks it of each of them: replicas x replicas. A lookup's parts were looked up in open and once more, with the same answer, in jammed.

Change: the least doubt of a group is worked out once a round, in which no figure changes; jammed takes over what open found.

Also: yokelab scale policies cuts a region off by relays for a minute (--fault region-cut).

--- a/cmd/yokelab/scale.go
+++ b/cmd/yokelab/scale.go
@@ -130,7 +130,7 @@
 	cmd.Flags().IntSliceVar(&gatherers, "gatherers", []int{300, 900, 1800, 3600}, "hollow gatherers")
 	cmd.Flags().IntVar(&t.Changes, "changes", 10, "in a row")
 	cmd.Flags().Float64Var(&rest, "rest", 10, "seconds that are measured with nothing to do")
-	cmd.Flags().StringVar(&fault, "fault", string(scale.NoFault), "in each change: none, one-killed, one-ended, many-killed, leader-killed, leader-stopped")
+	cmd.Flags().StringVar(&fault, "fault", string(scale.NoFault), "in each change: none, one-killed, one-ended, many-killed, leader-killed, leader-stopped, region-cut")
 	out.flag(cmd)
 	return cmd
 }
--- a/internal/scale/decisions.go
+++ b/internal/scale/decisions.go
@@ -3,7 +3,10 @@
 import (
 	"container/heap"
 	"context"
+	"encoding/binary"
 	"fmt"
+	"hash"
+	"hash/fnv"
 	"time"
 
 	"yokeroute/gather"
@@ -91,12 +94,13 @@
 	sent    int
 	queries int
 	longest time.Duration
-	landing []float64 // seconds that rounds took in which a query landed
+	written hash.Hash64 // of all part calls that were decided on
+	landing []float64   // seconds that rounds took in which a query landed
 	round   gather.Round
 }
 
 func newQueryLoad(t DecisionTerms) *queryLoad {
-	q := &queryLoad{terms: t, chance: pcg.New(t.Seed + 1), now: 1e6, next: 1, calls: map[uint64]int{},
+	q := &queryLoad{terms: t, written: fnv.New64a(), chance: pcg.New(t.Seed + 1), now: 1e6, next: 1, calls: map[uint64]int{},
 		module: logic.New(t.Seed, decisionSettings(t))}
 	groups := max(t.Servers/t.Replicas, 1)
 	list := gather.List{Full: true}
@@ -111,6 +115,7 @@
 // Send is the module's writer's: the call's end is drawn.
 func (q *queryLoad) Send(part uint64, server uint32, _ float64) {
 	q.sent++
+	q.written.Write(binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint64(nil, part), server))
 	number := q.calls[part]
 	q.calls[part]++
 	latency := leastLatency + latencyRange*q.chance.Float64()*q.chance.Float64()
--- a/internal/scale/figures.go
+++ b/internal/scale/figures.go
@@ -75,6 +75,7 @@
 	middle := newFigure(name("in force, median gatherer"), per, "s", DesignGatherers, BudgetInForce.Seconds())
 	late := newFigure(name("in force, 99th percentile"), per, "s", DesignGatherers, BudgetInForce.Seconds())
 	last := newFigure(name("in force everywhere"), per, "s", DesignGatherers, BudgetInForce.Seconds())
+	returned := newFigure(name("a region that was cut off is back"), per, "s", DesignGatherers, BudgetInForce.Seconds())
 	unfinished := newFigure(name("changes not everywhere within 40 s"), per, "", DesignGatherers, 0)
 	changing := newFigure(name("leader during changes"), per, "cores", DesignGatherers, 0)
 	for _, n := range gatherers {
@@ -102,12 +103,19 @@
 			late.add(size, c.P99[i].Seconds())
 			last.add(size, c.InForce[i].Seconds())
 		}
+		for _, back := range c.Returned {
+			returned.add(size, back.Seconds())
+		}
 		if t.Changes > 0 {
 			unfinished.add(size, float64(c.Unfinished))
 			changing.add(size, c.ChangeCores)
 		}
 	}
-	return fitted(start, leader, leaderMemory, each, bytes, memory, middle, late, last, unfinished, changing), nil
+	figures := []*Figure{start, leader, leaderMemory, each, bytes, memory, middle, late, last, unfinished, changing}
+	if t.Fault == RegionCut {
+		figures = append(figures, returned)
+	}
+	return fitted(figures...), nil
 }
 
 // ListFigures measures the list of shard servers at sizes of the fleet.
--- a/internal/scale/policies.go
+++ b/internal/scale/policies.go
@@ -17,6 +17,7 @@
 	"yokeroute/internal/operator"
 	"yokeroute/internal/policy"
 	"yokeroute/internal/proc"
+	"yokeroute/internal/processes"
 	decisions "yokeroute/logic/policy"
 )
 
@@ -30,11 +31,12 @@
 	LeaderStopped PolicyFault = "leader-stopped" // by SIGSTOP
 	ManyKilled    PolicyFault = "many-killed"    // one gatherer in twelve, at once
 	OneKilled     PolicyFault = "one-killed"
-	OneEnded      PolicyFault = "one-ended" // a planned end
+	OneEnded      PolicyFault = "one-ended"  // a planned end
+	RegionCut     PolicyFault = "region-cut" // one region in three, by relays, for a minute
 )
 
 // PolicyFaults are all of them, in the order in which they are measured.
-var PolicyFaults = []PolicyFault{NoFault, OneKilled, OneEnded, ManyKilled, LeaderKilled, LeaderStopped}
+var PolicyFaults = []PolicyFault{NoFault, OneKilled, OneEnded, ManyKilled, LeaderKilled, LeaderStopped, RegionCut}
 
 // PolicyTerms are stewards as processes and hollow gatherers in this one, which follow them over HTTP.
 type PolicyTerms struct {
@@ -57,6 +59,7 @@
 	EachBytes   float64 // memory of one gatherer
 	InForce     []time.Duration
 	P50, P99    []time.Duration // of gatherers, by change
+	Returned    []time.Duration // until a region that was cut off went by the stewards' word again
 	Unfinished  int             // changes that were given up, or not everywhere within the wait
 	ChangeCores float64         // of the leader while changes were made
 }
@@ -68,6 +71,7 @@
 	stewardBeat    = 100.0
 	longestChange  = 40 * time.Second
 	longestStart   = 90 * time.Second
+	regionCut      = time.Minute
 	manyShare      = 12 // one gatherer in so many
 	stewardPort    = 8700
 	stewardLogPort = 8701
@@ -81,12 +85,17 @@
 	names    []operator.Steward
 	client   *policy.Client
 	hollow   []*hollowGatherer
+	relays   []*processes.Link  // of the region that is cut off, one to each steward
+	far      []operator.Steward // the stewards as that region reaches them
+	cut      bool
+	returned []time.Duration // of the region
 	log      *logrus.Logger
 }
 
 // hollowGatherer is the control side of a gatherer without clients: the real governor and the real follower.
 type hollowGatherer struct {
 	governor *policy.Governor
+	far      bool // it stands in the region that is cut off
 	stop     context.CancelFunc
 	ended    chan struct{}
 
@@ -127,6 +136,9 @@
 		}
 		f.stewards = append(f.stewards, p)
 	}
+	if err := f.layRelays(); err != nil {
+		return f, err
+	}
 	waiting, cancel := context.WithTimeout(ctx, longestStart)
 	defer cancel()
 	return f, proc.Until(waiting, "a steward leads", func() bool {
@@ -137,11 +149,30 @@
 	})
 }
 
+// layRelays lays a relay to each steward where a region is to be cut off.
+func (f *policyFleet) layRelays() error {
+	if f.terms.Fault != RegionCut {
+		return nil
+	}
+	for i, s := range f.names {
+		relay, err := processes.NewLink("region", s.Name, "127.0.0.1", s.Address, uint64(i))
+		if err != nil {
+			return err
+		}
+		f.relays = append(f.relays, relay)
+		f.far = append(f.far, operator.Steward{Name: s.Name, Address: relay.Address()})
+	}
+	return nil
+}
+
 // close ends all of it.
 func (f *policyFleet) close() {
 	for _, h := range f.hollow {
 		h.end()
 	}
+	for _, relay := range f.relays {
+		relay.Close()
+	}
 	for _, p := range f.stewards {
 		if p.Stopped() {
 			p.Continue()
@@ -171,11 +202,15 @@
 func (f *policyFleet) startHollow(number int) *hollowGatherer {
 	start := time.Now()
 	clock := func() float64 { return float64(time.Since(start)) / 1e6 }
-	h := &hollowGatherer{ended: make(chan struct{})}
+	h := &hollowGatherer{ended: make(chan struct{}), far: len(f.far) > 0 && number%DesignRegions == 0}
+	stewards := f.names
+	if h.far {
+		stewards = f.far
+	}
 	h.governor = policy.NewGovernor(gather.Terms{}, hollowFloor, decisions.Fence{}, clock, func() { h.changed(clock()) })
 	me := decisions.Hello{Member: decisions.Member{Name: fmt.Sprintf("g%05d", number), Zone: fmt.Sprint("z", number%DesignZones), Floor: hollowFloor},
 		Process: fmt.Sprintf("%d-%d", number, start.UnixNano())}
-	follower := policy.NewFollower(h.governor, f.names, me, "", f.log)
+	follower := policy.NewFollower(h.governor, stewards, me, "", f.log)
 	ctx, stop := context.WithCancel(f.ctx)
 	h.stop = stop
 	go func() {
@@ -236,7 +271,7 @@
 	}
 	defer undo()
 	err = proc.Until(waiting, "the change is in force everywhere", func() bool {
-		for _, h := range f.hollow {
+		for _, h := range f.near() {
 			if _, there := h.reached(change.Number); !there {
 				return false
 			}
@@ -246,13 +281,54 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, h := range f.hollow {
+	for _, h := range f.near() {
 		at, _ := h.reached(change.Number)
 		times = append(times, at.Sub(proposed))
 	}
 	return times, nil
 }
 
+// near are the gatherers that are not cut off.
+func (f *policyFleet) near() []*hollowGatherer {
+	if !f.cut {
+		return f.hollow
+	}
+	var near []*hollowGatherer
+	for _, h := range f.hollow {
+		if !h.far {
+			near = append(near, h)
+		}
+	}
+	return near
+}
+
+// cutRegion cuts the region's relays; undo mends them once the minute is over, and waits until the region is back.
+func (f *policyFleet) cutRegion() (undo func(), err error) {
+	from := time.Now()
+	f.cut = true
+	for _, relay := range f.relays {
+		if err := relay.Cut(true); err != nil {
+			return func() {}, err
+		}
+	}
+	return func() {
+		select {
+		case <-f.ctx.Done():
+		case <-time.After(time.Until(from.Add(regionCut))):
+		}
+		for _, relay := range f.relays {
+			if err := relay.Mend(); err != nil {
+				f.log.WithError(err).Error("relay")
+			}
+		}
+		f.cut = false
+		mended := time.Now()
+		if f.awaitLeases() == nil {
+			f.returned = append(f.returned, time.Since(mended))
+		}
+	}, nil
+}
+
 // befall brings the fault about; what it gives undoes it once the change is over.
 func (f *policyFleet) befall(number int) (undo func(), err error) {
 	undo = func() {}
@@ -267,6 +343,8 @@
 		}
 		leader.Kill()
 		return undo, nil
+	case RegionCut:
+		return f.cutRegion()
 	case OneKilled, OneEnded:
 		return f.crash(number, 1), nil
 	case ManyKilled:
@@ -367,6 +445,7 @@
 	if err != nil {
 		return err
 	}
+	defer func() { c.Returned = f.returned }()
 	used, began := leader.Use(), time.Now()
 	for number := range f.terms.Changes {
 		times, err := f.change(number)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -69,6 +69,7 @@
 	calls []*call
 	first [1]*call // room for the first of them
 	out   int      // calls that have not ended
+	due   int      // whose turn it was when its lookup was opened, or -1
 	asked bool     // to be sent, whether or not a server has room for it now
 	extra bool     // beyond the n of normal mode
 	in    bool
@@ -130,9 +131,12 @@
 	sound         []float64 // share of parts answered, late or not
 	trust         []float64 // parts answered since the last one lost
 
-	holders [][]int // by shard modulo groups, as turns
-	turns   []turn
-	plan    turns.Weighted // for groups of which an operator handed weights down
+	holders    [][]int   // by shard modulo groups, as turns
+	leastDoubt []float64 // among them, as of the round in doubtAt
+	doubtAt    []uint64
+	rounds     uint64
+	turns      []turn
+	plan       turns.Weighted // for groups of which an operator handed weights down
 
 	soft, normal        float64   // the shortest soft deadline; the median of what the window answered
 	unknown             float64   // latency of a server without records: the median as the last round found it
@@ -162,6 +166,7 @@
 		g.soft = min(g.soft, g.index(name).soft)
 	}
 	g.normal, g.holders = g.soft/10, make([][]int, max(int(terms.Num("groups")), 1))
+	g.leastDoubt, g.doubtAt = make([]float64, len(g.holders)), make([]uint64, len(g.holders))
 	for range g.holders { // by chance, against all gatherers starting at one replica
 		g.turns = append(g.turns, turn{next: int(g.chance.Uint32() >> 8), at: -1})
 	}
@@ -176,7 +181,7 @@
 	if g.now > 0 {
 		g.elapsed = min(in.Now-g.now, span)
 	}
-	g.now, g.w = in.Now, w
+	g.now, g.w, g.rounds = in.Now, w, g.rounds+1
 	if in.Terms != nil { // an operator's policy: what lands from now on goes by it
 		g.terms, g.indexes = in.Terms, map[string]*index{}
 		g.slow.Take(g.terms)
@@ -486,11 +491,11 @@
 	}
 	all := make([]choice, len(lk.parts))
 	for i, p := range lk.parts {
-		c := choice{p: p, shd: g.peek(p), f: 1, tie: p.Cost + p.Later + g.chance.Float64()}
-		if c.shd >= 0 {
-			c.f = g.f[c.shd]
+		p.due = g.peek(p)
+		all[i] = choice{p: p, shd: p.due, f: 1, tie: p.Cost + p.Later + g.chance.Float64()}
+		if p.due >= 0 {
+			all[i].f = g.f[p.due]
 		}
-		all[i] = c
 	}
 	slices.SortStableFunc(all, func(a, b choice) int {
 		return cmp.Or(cmp.Compare(a.f, b.f), cmp.Compare(a.tie, b.tie))
@@ -549,8 +554,8 @@
 		counts = toldCounts
 	}
 	for _, p := range lk.parts {
-		if shd := g.peek(p); p.asked && shd >= 0 && g.landing(shd) < silent { // an own cut refuses nothing
-			waits = append(waits, wait{counts * g.landing(shd), p.Weight})
+		if p.asked && p.due >= 0 && g.landing(p.due) < silent { // an own cut refuses nothing
+			waits = append(waits, wait{counts * g.landing(p.due), p.Weight})
 		}
 	}
 	slices.SortFunc(waits, func(a, b wait) int { return cmp.Compare(a.ms, b.ms) })
@@ -709,11 +714,14 @@
 // standsOut reports whether a server's failures stand out among the replicas of the part's group, not the
 // fleet: against half a fleet that fails this gatherer alone, and against blaming anyone for a jam.
 func (g *Gatherer) standsOut(shd int, p *part) bool {
-	least := math.Inf(1)
-	for _, other := range g.holders[p.Shard%len(g.holders)] {
-		least = min(least, g.doubt[other])
+	base := p.Shard % len(g.holders)
+	if g.doubtAt[base] != g.rounds { // once a round, in which it stays: against replicas x replicas
+		g.doubtAt[base], g.leastDoubt[base] = g.rounds, math.Inf(1)
+		for _, other := range g.holders[base] {
+			g.leastDoubt[base] = min(g.leastDoubt[base], g.doubt[other])
+		}
 	}
-	return g.doubt[shd] > badShare+least
+	return g.doubt[shd] > badShare+g.leastDoubt[base]
 }
 
 // skipped reports whether the turns pass a server by: the design's companion; one whose failures stand out,
@@ -808,8 +816,7 @@
 	g.w.Answer(lk.ID, whole)
 	g.drop(lk)
 	if !lk.answered && lk.ix.secondStep > 0 {
-		lk = &lookup{Lookup: lk.Lookup, ix: lk.ix, landed: lk.landed, opened: true, answered: true,
-			whole: whole}
+		lk = &lookup{Lookup: lk.Lookup, ix: lk.ix, landed: lk.landed, opened: true, answered: true, whole: whole}
 		g.held, g.byNumber[lk.Number] = append(g.held, lk), lk
 	}
 }
