Looking for an idle replica ends with the first, and latencies count only where turns are over

Cause: peek went through all replicas of a group for the least of our calls out and for the least expected latency; the first can't be under none, and the second is looked at only where no turn found a free replica.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -147,12 +147,11 @@
 	taken, further      []float64 // times of lookups and parts taken, and of further part calls
 	scratch             []float64 // kept from round to round, against garbage by the thousand records
 
-	held          []*lookup
-	byNumber      map[uint64]*lookup
-	parts         map[uint64]*part
-	wakeAt, askAt float64
-	subscribed    bool
-	asks          bool // servers tell their load only when asked
+	held             []*lookup
+	byNumber         map[uint64]*lookup
+	parts            map[uint64]*part
+	wakeAt, askAt    float64
+	subscribed, asks bool // to the list; servers tell their load only when asked
 }
 
 // New makes a gatherer that knows only its terms.
@@ -405,8 +404,7 @@
 	}
 	g.slow.Earn(g.now, g.elapsed, g.normal, g.carried, g.runs)
 	g.unknown = g.normal
-	g.usual, g.normal = order.Median(calls, 0), g.records.Median(g.soft/10)
-	g.carried, g.scratch = 0, calls
+	g.usual, g.normal, g.carried, g.scratch = order.Median(calls, 0), g.records.Median(g.soft/10), 0, calls
 }
 
 // figure works out what a server's records and its calls that are out say of it.
@@ -745,16 +743,18 @@
 	}
 	best, far, least, emptiest, quickest := -1, 0, math.Inf(1), math.Inf(1), math.Inf(1)
 	n := len(g.holders[base])
-	for _, shd := range g.holders[base] {
-		if g.usable(shd, p) {
-			quickest = min(quickest, g.landing(shd))
-			if !g.skipped(shd, p) {
-				emptiest = min(emptiest, float64(len(g.out[shd])))
-			}
+	for i := 0; i < n && emptiest > 0; i++ {
+		if shd := g.holders[base][i]; g.usable(shd, p) && !g.skipped(shd, p) {
+			emptiest = min(emptiest, float64(len(g.out[shd])))
 		}
 	}
 	// A fresh server goes first: with ordinary turns on top, it would stay idle while it warms.
 	for i := range 2 * n {
+		for j := 0; i == n && j < n; j++ { // only now does it count
+			if other := g.holders[base][j]; g.usable(other, p) {
+				quickest = min(quickest, g.landing(other))
+			}
+		}
 		shd := g.holders[base][(g.turns[base].next+i)%n]
 		if !g.usable(shd, p) || i < n && g.slow.Share(shd, g.now) == 1 {
 			continue
