Pauses after failed calls are a decision of their own; discovery is split by job

logic/backoff holds the pauses that discovery took from its own constants: pure, with chance as an argument, and a test that two calls are made within the 6 s after which a change counts as told.

--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -19,6 +19,7 @@
 
 	"yokeroute/gather"
 	"yokeroute/internal/shardcall"
+	"yokeroute/logic/backoff"
 )
 
 // A list that goes quiet, is cut, comes late or is behind: each forced by the agent.
@@ -437,7 +438,7 @@
 		if want := "index=" + strconv.FormatInt(known.Revision, 10) + "&"; !strings.HasPrefix(c.query, want) {
 			t.Errorf("call %d asks for %q, not from %q on", n, c.query, want)
 		}
-		if least := sharedPause << max(n-1, 0) / 2; n > 0 && c.at.Sub(before) < min(least, sharedPauseMost/2) {
+		if least := time.Duration(backoff.Pause(n, 0)) * time.Millisecond; n > 0 && c.at.Sub(before) < least {
 			t.Errorf("call %d comes %s after the one before, at least %s are due", n, c.at.Sub(before), least)
 		}
 		before = c.at
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -4,19 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"yokeroute/gather"
 	"yokeroute/internal/shardcall"
+	"yokeroute/logic/backoff"
 )
 
 const (
@@ -32,10 +31,6 @@
 	hedgeAfter = 100 * time.Millisecond
 	// The pause after a call that failed: an agent that is back is to be found within the same time.
 	retryPause = 50 * time.Millisecond
-	// A service that answers only when asked has a capacity that all gatherers share: after a call that failed the pause
-	// doubles up to the longest, and is drawn from half to one and a half of that, against all asking at once.
-	sharedPause     = 100 * time.Millisecond
-	sharedPauseMost = 1600 * time.Millisecond
 	// Calls that open a watch are out at once in this number, against descriptors and an agent that pile up. The
 	// oldest is left its full time, for an agent that is slow; the others make room for new ones.
 	mostOpening = 5
@@ -296,13 +291,13 @@
 
 // backOff waits after a failed call to a shared service, longer with each.
 func (f *Follower) backOff(ctx context.Context, moved <-chan struct{}) {
-	pause := min(sharedPause<<min(f.failed, 10), sharedPauseMost)
 	f.failed++
+	pause := time.Duration(backoff.Pause(f.failed, rand.Float64()) * float64(time.Millisecond))
 	select {
 	case <-ctx.Done():
 	case <-moved:
 		f.failed = 0
-	case <-time.After(pause/2 + rand.N(pause)):
+	case <-time.After(pause):
 	}
 }
 
@@ -357,147 +352,3 @@
 	}
 	return f.get(ctx, url+"?index="+strconv.FormatInt(f.revision, 10)+"&wait="+strconv.FormatInt(longPoll.Milliseconds(), 10), wholeChange, nil)
 }
-
-// opening is the calls for the whole list that are out at one agent.
-type opening struct {
-	ctx  context.Context
-	stop context.CancelFunc
-	ends chan end
-	out  []*opened // by age
-}
-
-type opened struct {
-	stop  context.CancelFunc
-	begun atomic.Bool // its answer has
-}
-
-type end struct {
-	of  *opened
-	r   *Reply
-	err error
-}
-
-func (o *opening) end() {
-	if o != nil {
-		o.stop()
-	}
-}
-
-// ask makes one more call, in place of one that has waited for nothing where too many are out.
-func (o *opening) ask(f *Follower, url string) {
-	if len(o.out) >= mostOpening {
-		at := slices.IndexFunc(o.out[1:], func(c *opened) bool { return !c.begun.Load() })
-		if at < 0 {
-			return // answers are coming
-		}
-		o.out[1+at].stop()
-		o.out = slices.Delete(o.out, 1+at, 2+at)
-	}
-	ctx, stop := context.WithCancel(o.ctx)
-	c := &opened{stop: stop}
-	o.out = append(o.out, c)
-	go func() {
-		defer stop()
-		r, err := f.get(ctx, url, wholeList, &c.begun)
-		select {
-		case o.ends <- end{c, r, err}:
-		case <-o.ctx.Done():
-		}
-	}()
-}
-
-// open asks for the whole list until one of its calls is answered, for as long as patience lasts. Calls that are still
-// out then go on, for the next open to hear.
-func (f *Follower) open(ctx context.Context, url string) (*Reply, error) {
-	if f.opening == nil {
-		f.opening = &opening{ends: make(chan end)}
-		f.opening.ctx, f.opening.stop = context.WithCancel(context.WithoutCancel(ctx))
-	}
-	o := f.opening
-	limit := time.NewTimer(patience)
-	defer limit.Stop()
-	next := time.NewTicker(hedgeAfter)
-	defer next.Stop()
-	o.ask(f, url)
-	for {
-		select {
-		case e := <-o.ends:
-			at := slices.Index(o.out, e.of)
-			if at >= 0 { // else it was given up for another
-				o.out = slices.Delete(o.out, at, at+1)
-			}
-			if e.err == nil {
-				o.end()
-				f.opening = nil
-				return e.r, nil
-			}
-			if len(o.out) == 0 {
-				return nil, e.err
-			}
-		case <-next.C:
-			if !f.shared {
-				o.ask(f, url)
-			}
-		case <-limit.C:
-			return nil, errSilent
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-}
-
-// errOverBound is an answer that is larger than any fleet's; nothing of it is taken over.
-var errOverBound = errors.New("over the bound")
-
-var errSilent = errors.New("no answer")
-
-// get makes one call. Its answer has to begin within the time that the transport gives it, to go on without a stall and
-// to be whole within a limit.
-func (f *Follower) get(ctx context.Context, url string, limit time.Duration, begun *atomic.Bool) (*Reply, error) {
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := f.http.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	if begun != nil {
-		begun.Store(true)
-	}
-	whole := time.AfterFunc(limit, func() { stop(errStalled) })
-	defer whole.Stop()
-	stalled := time.AfterFunc(stall, func() { stop(errStalled) })
-	defer stalled.Stop()
-	body, err := io.ReadAll(&moving{io.LimitReader(resp.Body, mostBody+1), stalled})
-	switch {
-	case err != nil && context.Cause(ctx) == errStalled:
-		return nil, fmt.Errorf("%w after %d bytes", errStalled, len(body))
-	case err != nil:
-		return nil, fmt.Errorf("answer cut after %d bytes: %w", len(body), err)
-	case len(body) > mostBody:
-		return nil, fmt.Errorf("%w: an answer of over %d bytes", errOverBound, mostBody)
-	case resp.StatusCode != http.StatusOK:
-		return nil, fmt.Errorf("discovery answers %s", resp.Status)
-	}
-	return Parse(body)
-}
-
-var errStalled = errors.New("answer stalled")
-
-// moving puts a timer off each time that something comes.
-type moving struct {
-	r     io.Reader
-	timer *time.Timer
-}
-
-func (m *moving) Read(p []byte) (int, error) {
-	n, err := m.r.Read(p)
-	if n > 0 {
-		m.timer.Reset(stall)
-	}
-	return n, err
-}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -280,9 +280,9 @@
 			if shd < len(g.ids) {
 				delete(g.dense, g.ids[shd])
 			} else {
-				g.ids = append(g.ids, 0)
-				g.holds, g.state, g.brief = append(g.holds, nil), append(g.state, 0), append(g.brief, false)
-				g.out, g.last, g.away, g.isBusy = append(g.out, nil), append(g.last, nil), append(g.away, false), append(g.isBusy, false)
+				g.ids, g.holds, g.state = append(g.ids, 0), append(g.holds, nil), append(g.state, 0)
+				g.out, g.last = append(g.out, nil), append(g.last, nil)
+				g.brief, g.away, g.isBusy = append(g.brief, false), append(g.away, false), append(g.isBusy, false)
 				g.records.Grow()
 				g.slow.Grow()
 				for _, figures := range []*[]float64{&g.rate, &g.s, &g.f, &g.r, &g.doubt, &g.sound, &g.trust,
@@ -292,7 +292,7 @@
 			}
 			g.dense[e.ID], g.ids[shd] = shd, e.ID
 		}
-		if !known || e.Started != g.slow.Started(shd) { // against judging a new process by what the one before it did
+		if !known || e.Started != g.slow.Started(shd) { // against judging a process by the one before it
 			g.records.Forget(shd)
 			g.last[shd], g.rate[shd] = nil, 0
 			g.polled[shd], g.told[shd] = 0, math.Inf(-1)
@@ -332,8 +332,8 @@
 	g.out[c.shd] = slices.DeleteFunc(g.out[c.shd], func(o *call) bool { return o == c })
 	g.records.Touch(c.shd)
 	waited, limit, passed := g.now-c.at, overS*g.yard(c), e.Outcome == gather.Answered
-	rec := records.Record{At: g.now, Latency: waited, Extra: waited - limit/overS, Weight: c.cost, Passed: passed,
-		Failed: !passed || waited > limit}
+	rec := records.Record{At: g.now, Latency: waited, Extra: waited - limit/overS, Weight: c.cost,
+		Passed: passed, Failed: !passed || waited > limit}
 	if passed {
 		p.in = true
 		if g.slow.Share(c.shd, g.now) == 1 {
@@ -727,8 +727,8 @@
 func (g *Gatherer) skipped(shd int, p *part) bool {
 	c := g.last[shd]
 	out := c != nil && !c.ended
-	return out && (g.now-c.at > overS*g.latency(shd) || !g.asks && g.records.Len(shd) == 0) || g.standsOut(shd, p) ||
-		p.lk.ix.effect == "once-only" && g.trust[shd] < regained
+	return out && (g.now-c.at > overS*g.latency(shd) || !g.asks && g.records.Len(shd) == 0) ||
+		g.standsOut(shd, p) || p.lk.ix.effect == "once-only" && g.trust[shd] < regained
 }
 
 // peek gives the replica whose turn it is, or -1; where all are skipped, the one that is least bad.
--- a/logic/policy/holder.go
+++ b/logic/policy/holder.go
@@ -21,8 +21,8 @@
 	return f
 }
 
-// News reports whether a word holds what a gatherer has not come to yet. A change that it refuses is none: it would ask
-// again at once.
+// News reports whether a word holds what a gatherer has not come to yet. A change that it refuses is none: it
+// would ask again at once.
 func (w *Word) News(h Hello) bool {
 	now := w.Fence()
 	refused := h.Refuses > 0 && h.Refuses == now.Change
--- a/internal/order/window.go
+++ b/logic/records/multiset.go
@@ -1,13 +1,13 @@
-package order
+package records
 
 import "slices"
 
 // mostInBlock bounds the values of one block, and with it what an insertion or a removal moves.
 const mostInBlock = 512
 
-// Multiset keeps values in their order, some of them alike, so that one goes in or out and the middle one is found
-// without looking at all: where the values of a window change one by one, selecting among all of them each time takes
-// time by the window and not by what changed.
+// Multiset keeps values in their order, some of them alike, so that one goes in or out and the middle one is
+// found without looking at all: where the values of a window change one by one, selecting among all of them
+// each time takes time by the window and not by what changed.
 type Multiset struct {
 	blocks [][]float64 // each in its order, none empty, the values of one not above those of the next
 	count  int
@@ -49,7 +49,7 @@
 	return true
 }
 
-// Median is the middle value, the upper one of two, or the other where there is none: the same as the function's.
+// Median is the middle value, the upper one of two, or the other where there is none: as order.Median has it.
 func (m *Multiset) Median(otherwise float64) float64 {
 	rank := m.count / 2
 	for _, block := range m.blocks {
--- a/internal/order/window_test.go
+++ b/logic/records/multiset_test.go
@@ -1,9 +1,10 @@
-package order
+package records
 
 import (
 	"slices"
 	"testing"
 
+	"yokeroute/internal/order"
 	"yokeroute/internal/pcg"
 )
 
@@ -30,7 +31,7 @@
 			if step%97 > 0 {
 				continue
 			}
-			if got, want := m.Median(-1), Median(slices.Clone(held), -1); got != want {
+			if got, want := m.Median(-1), order.Median(slices.Clone(held), -1); got != want {
 				t.Fatalf("step %d: %v, want %v", step, got, want)
 			}
 		}
--- a/logic/records/records.go
+++ b/logic/records/records.go
@@ -1,16 +1,13 @@
-// Package records keeps, for each shard server, the records of its part calls within a window, their sums, and the
-// median of what all servers answered lately. It brings them up to date by what changed: a round costs by the records
-// that came and ran out, not by the servers that there are or the records that they hold.
+// Package records keeps, for each shard server, the records of its part calls within a window, their sums,
+// and the median of what all servers answered lately. It brings them up to date by what changed: a round
+// costs by the records that came and ran out, not by the servers that there are or the records that they
+// hold.
 //
-// It decides nothing. The sums of a server are added up anew, in the order of its records, whenever one came or went, so
-// that they are the same to the last bit as if all were added up in every round.
+// It decides nothing. The sums of a server are added up anew, in the order of its records, whenever one came
+// or went, so that they are the same to the last bit as if all were added up in every round.
 package records
 
-import (
-	"math"
-
-	"yokeroute/internal/order"
-)
+import "math"
 
 // Record is how one part call went.
 type Record struct {
@@ -57,7 +54,7 @@
 	changed []int
 	window  queue // records of the window, by time
 	beyond  queue // records kept though they have left the window, by time
-	median  order.Multiset
+	median  Multiset
 	left    float64 // what came at or before this time has left the window
 }
 
@@ -108,8 +105,8 @@
 	t.Touch(of)
 }
 
-// Advance moves the window on and adds up the records of the servers where one came or went, or that were touched. It
-// gives these servers, until the next call.
+// Advance moves the window on and adds up the records of the servers where one came or went, or that were
+// touched. It gives these servers, until the next call.
 func (t *Table) Advance(now float64) []int {
 	left := t.leave(now)
 	for !t.beyond.empty() && t.beyond.first().at < now-t.limits.Memory {
@@ -126,7 +123,8 @@
 		}
 	}
 	for _, e := range left { // what is kept all the same ends with the memory
-		if s := &t.servers[e.server]; s.generation == e.generation && len(s.records) > 0 && s.records[0].At <= e.at {
+		s := &t.servers[e.server]
+		if s.generation == e.generation && len(s.records) > 0 && s.records[0].At <= e.at {
 			t.beyond.push(e)
 		}
 	}
@@ -153,7 +151,8 @@
 // Median is the middle latency of what was answered within the window, or the other where there is none.
 func (t *Table) Median(otherwise float64) float64 { return t.median.Median(otherwise) }
 
-// Answered appends the latencies of what was answered after a time. A time before the window costs a look at all records.
+// Answered appends the latencies of what was answered after a time. A time before the window costs a look at
+// all records.
 func (t *Table) Answered(after float64, to []float64) []float64 {
 	if after < t.left {
 		return t.answeredOfAll(after, to)
@@ -180,8 +179,8 @@
 	return to
 }
 
-// add drops what has run out and adds the rest up. It reports whether a record has left the window at this very moment
-// and is dropped at the next.
+// add drops what has run out and adds the rest up. It reports whether a record has left the window at this
+// very moment and is dropped at the next.
 func (s *server) add(now float64, limits Limits) (again bool) {
 	old := 0
 	for old < len(s.records) && (s.records[old].At < now-limits.Memory ||
--- a/logic/slowstart/slowstart.go
+++ b/logic/slowstart/slowstart.go
@@ -1,8 +1,10 @@
-// Package slowstart decides how much each gatherer may send a shard server that has started lately: a cold server bears
-// a share of its capacity that grows, and falls over where all gatherers together send it more than a multiple of that.
+// Package slowstart decides how much each gatherer may send a shard server that has started lately: a cold
+// server bears a share of its capacity that grows, and falls over where all gatherers together send it more
+// than a multiple of that.
 //
-// It has to keep the rule on cold servers without a word from other gatherers: each earns credit by its own part of what
-// warm servers are seen to answer. Its cost follows the servers that are cold, not all that there are.
+// It has to keep the rule on cold servers without a word from other gatherers: each earns credit by its own
+// part of what warm servers are seen to answer. Its cost follows the servers that are cold, not all that
+// there are.
 package slowstart
 
 import (
@@ -19,7 +21,7 @@
 
 // limits are the rule's, as the terms tell them.
 type limits struct {
-	time, share            float64 // for which a server is cold, and its least share of its capacity at the start
+	time, share            float64 // for which a server is cold, and its share of its capacity at the start
 	fallTime, fallMultiple float64
 	gatherers, own         float64
 }
@@ -36,8 +38,8 @@
 
 // Take takes the terms over, at the start or in place of others; Muster has to follow.
 func (t *Table) Take(terms gather.Terms) {
-	t.limits = limits{terms.Num("cold time"), terms.Num("cold share"), terms.Num("fall time"), terms.Num("fall multiple"),
-		max(terms.Num("gatherers"), 1), terms.Num("own number")}
+	t.limits = limits{terms.Num("cold time"), terms.Num("cold share"), terms.Num("fall time"),
+		terms.Num("fall multiple"), max(terms.Num("gatherers"), 1), terms.Num("own number")}
 }
 
 // Grow adds a server behind the last one.
@@ -46,14 +48,15 @@
 // Started is when a server's process started, 0 for long ago.
 func (t *Table) Started(of int) float64 { return t.started[of] }
 
-// Start notes that another process of a server has started. Its first credit is spread over the gatherers, against all
-// sending their first part at once.
+// Start notes that another process of a server has started. Its first credit is spread over the gatherers,
+// against all sending their first part at once.
 func (t *Table) Start(of int, id uint32, at float64) {
 	t.started[of] = at
 	t.credit[of] = math.Mod(t.limits.own+float64(id%1024), t.limits.gatherers) / t.limits.gatherers
 }
 
-// Muster finds the servers that are cold, after a change of the list or of the terms; runs reports whether one takes parts.
+// Muster finds the servers that are cold, after a change of the list or of the terms; runs reports whether
+// one takes parts.
 func (t *Table) Muster(now float64, runs func(of int) bool) {
 	t.running, t.cold = 0, t.cold[:0]
 	for of := range t.started {
@@ -75,9 +78,10 @@
 	return t.limits.share + (1-t.limits.share)*max(age, 0)/t.limits.time
 }
 
-// Earn lets the cold servers that run be sent their share of what a warm one is seen to answer: over all gatherers, however
-// uneven, a part of the rule. Where nothing is warm, a quarter of it for one core is shared out evenly. Carried are the
-// parts that warm servers answered since the last time, elapsed the time since, normal a part's usual latency.
+// Earn lets the cold servers that run be sent their share of what a warm one is seen to answer: over all
+// gatherers, however uneven, a part of the rule. Where nothing is warm, a quarter of it for one core is
+// shared out evenly. Carried are the parts that warm servers answered since the last time, elapsed the time
+// since, normal a part's usual latency.
 func (t *Table) Earn(now, elapsed, normal, carried float64, runs func(of int) bool) {
 	least := elapsed / max(normal, 1) / 4 / t.limits.gatherers
 	seen, warm := max(push*carried/max(t.warm, 1), least), t.running
--- a/logic/view.go
+++ b/logic/view.go
@@ -14,7 +14,8 @@
 			group = g.holds[shd][0]
 		}
 		views = append(views, gather.View{Server: id, Group: group, State: g.state[shd], S: g.latency(shd),
-			F: g.f[shd], R: g.r[shd], Rate: g.rate[shd] / span * 1000, Out: len(g.out[shd]), Warm: g.slow.Share(shd, g.now)})
+			F: g.f[shd], R: g.r[shd], Rate: g.rate[shd] / span * 1000, Out: len(g.out[shd]),
+			Warm: g.slow.Share(shd, g.now)})
 	}
 	return views
 }
