--- a/internal/policy/emulated/fleet.go
+++ b/internal/policy/emulated/fleet.go
@@ -135,7 +135,7 @@
 	q      queue
 	n      int
 	record *policy.Record
-	desk   *policy.Desk // nil while nobody leads
+	leader *policy.Leader // nil while nobody leads
 	all    []*gatherer
 	polls  []*waiting
 	out    Outcome
@@ -158,7 +158,7 @@
 		t.Limit = 60_000
 	}
 	f := &fleet{t: t, chance: pcg.New(t.Seed*104_729 + 7), record: &policy.Record{}}
-	f.desk = policy.Open(f.record, t.Lease, t.Limit, -2*t.Lease)
+	f.leader = policy.Open(f.record, t.Lease, t.Limit, -2*t.Lease)
 	for i := range t.Gatherers {
 		g := &gatherer{name: fmt.Sprintf("g%04d", i), floor: floor(), rate: 1 + 0.008*(2*f.chance.Float64()-1), offset: 1e6 * f.chance.Float64(), cut: [2]float64{}}
 		f.all = append(f.all, g)
@@ -342,7 +342,7 @@
 
 // hear has a question come to the stewards.
 func (f *fleet) hear(g *gatherer, number int, asked float64, hello policy.Hello) {
-	if f.desk == nil {
+	if f.leader == nil {
 		return
 	}
 	if !f.record.Known(hello.Member) {
@@ -350,7 +350,7 @@
 	}
 	f.count(hello)
 	w := &waiting{g: g, number: number, hello: hello, process: g.process, asked: asked}
-	w.lease = f.desk.Hear(f.now, hello).Lease
+	w.lease = f.leader.Hear(f.now, hello).Lease
 	f.decide()
 	if told := f.record.Word(); told.News(hello) {
 		f.answer(w)
@@ -481,8 +481,8 @@
 		return nil
 	}
 	f.record = &next
-	if f.desk != nil {
-		f.desk.Record = f.record
+	if f.leader != nil {
+		f.leader.Record = f.record
 	}
 	return change
 }
@@ -498,7 +498,7 @@
 
 // propose puts a policy forward: each index's copies forbidden or not, by chance.
 func (f *fleet) propose() {
-	if f.number > 0 || f.desk == nil {
+	if f.number > 0 || f.leader == nil {
 		f.in(500, f.propose)
 		return
 	}
@@ -529,12 +529,12 @@
 
 // decide has the stewards decide, where they lead.
 func (f *fleet) decide() {
-	if f.desk == nil || f.record.Change == nil {
+	if f.leader == nil || f.record.Change == nil {
 		return
 	}
-	f.desk.Record = f.record
+	f.leader.Record = f.record
 	now := f.now
-	c, _ := f.desk.Decide(now)
+	c, _ := f.leader.Decide(now)
 	if c == nil {
 		return
 	}
@@ -573,14 +573,14 @@
 
 // lose has the lead go, and another take it some time after.
 func (f *fleet) lose() {
-	f.desk, f.polls = nil, nil
+	f.leader, f.polls = nil, nil
 	f.in(200+3000*f.chance.Float64()*f.chance.Float64(), func() {
 		began := f.now
 		if f.t.Variant == "no wait" {
 			began = -1e9
 		}
-		if f.desk == nil {
-			f.desk = policy.Open(f.record, f.t.Lease, f.t.Limit, began)
+		if f.leader == nil {
+			f.leader = policy.Open(f.record, f.t.Lease, f.t.Limit, began)
 		}
 	})
 }
--- a/internal/steward/http.go
+++ b/internal/steward/http.go
@@ -133,15 +133,15 @@
 	return "", err
 }
 
-// hear takes a question in at the desk; not where this steward does not lead.
+// hear takes a question in, where this steward leads.
 func (s *Steward) hear(h policy.Hello) (policy.Word, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.desk == nil {
+	if s.leader == nil {
 		return policy.Word{}, false
 	}
-	s.desk.Record, _ = s.machine.now()
-	return s.desk.Hear(s.now(), h), true
+	s.leader.Record, _ = s.machine.now()
+	return s.leader.Hear(s.now(), h), true
 }
 
 // status tells operators how far everybody is.
@@ -151,16 +151,16 @@
 		return
 	}
 	s.mu.Lock()
-	if s.desk == nil {
+	if s.leader == nil {
 		s.mu.Unlock()
 		s.elsewhere(w)
 		return
 	}
 	now := s.now()
-	s.desk.Record, _ = s.machine.now()
-	st := &wire.Status{Steward: s.t.Name, Record: *s.desk.Record, Standings: s.desk.Standings(now)}
-	_, st.Waits = s.desk.Decide(now)
-	st.Everywhere, st.Missing = s.desk.Everywhere(now, st.Standings)
+	s.leader.Record, _ = s.machine.now()
+	st := &wire.Status{Steward: s.t.Name, Record: *s.leader.Record, Standings: s.leader.Standings(now)}
+	_, st.Waits = s.leader.Decide(now)
+	st.Everywhere, st.Missing = s.leader.Everywhere(now, st.Standings)
 	s.mu.Unlock()
 	answer(w, http.StatusOK, wire.Answer{Status: st})
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -36,8 +36,8 @@
 	listen  net.Listener
 	http    *http.Server
 
-	mu   sync.Mutex
-	desk *policy.Desk // nil while another leads
+	mu     sync.Mutex
+	leader *policy.Leader // nil while another leads
 }
 
 // stream is how stewards reach each other: by their names, which each file turns into addresses of its own.
@@ -163,7 +163,7 @@
 	}
 }
 
-// lead opens the desk once all that was decided before is known here, and closes it.
+// lead begins to lead once all that was decided before is known here, and ends.
 func (s *Steward) lead(is bool) {
 	if is {
 		if err := s.raft.Load().Barrier(20 * time.Duration(s.t.Beat*1e6)).Error(); err != nil {
@@ -173,9 +173,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.desk = nil; is {
+	if s.leader = nil; is {
 		r, _ := s.machine.now()
-		s.desk = policy.Open(r, s.t.Lease, s.t.Limit, s.now())
+		s.leader = policy.Open(r, s.t.Lease, s.t.Limit, s.now())
 	}
 	s.log.WithField("leads", is).Info("policies: the lead has moved")
 }
@@ -192,9 +192,9 @@
 func (s *Steward) decide() {
 	s.mu.Lock()
 	var c *policy.Command
-	if s.desk != nil {
-		s.desk.Record, _ = s.machine.now()
-		c, _ = s.desk.Decide(s.now())
+	if s.leader != nil {
+		s.leader.Record, _ = s.machine.now()
+		c, _ = s.leader.Decide(s.now())
 	}
 	s.mu.Unlock()
 	if c == nil {
--- a/logic/policy/holder.go
+++ b/logic/policy/holder.go
@@ -62,7 +62,7 @@
 	fit   func(Policy) error // what the platform's settings say to a policy
 
 	fence    Fence
-	acts     Policy // in force, or its meet with the one that is being prepared, or the floor
+	acts     Policy // in force, or its intersection with the one that is being prepared, or the floor
 	leased   bool
 	until    float64 // of the lease; questions are asked one after the other, so that it only grows
 	ways     uint64  // counts what it has acted by, one after the other
@@ -100,7 +100,7 @@
 		if err := h.fits(w.Change.Policy); err != nil {
 			h.refuses, h.why = w.Change.Number, err.Error()
 		}
-		acts = Meet(w.Policy, w.Change.Policy)
+		acts = Intersect(w.Policy, w.Change.Policy)
 	}
 	// A change that was decided and never prepared here was not waited for: this gatherer counts as cut off.
 	if next.Epoch > h.fence.Epoch && h.fence.Change != next.Epoch && h.leased {
@@ -112,7 +112,7 @@
 	h.fence = next
 	refused := h.refuses > 0 && h.refuses == next.Change
 	if asked+w.Lease <= now || refused && fresh {
-		// Too late already; or a change that is refused here, so that the meet can't be acted by.
+		// Too late already; or a change that is refused here, so that the intersection can't be acted by.
 		return h.fence, moved, true
 	}
 	h.leased = true
--- a/logic/policy/desk.go
+++ b/logic/policy/leader.go
@@ -14,15 +14,15 @@
 // to an ordinary quartz.
 const drift = 0.02
 
-// Desk is what a steward that leads decides by: the record, and what it has heard from gatherers since
+// Leader is what a steward that leads decides by: the record, and what it has heard from gatherers since
 // its lead began. Times are milliseconds of its own monotonic clock.
-type Desk struct {
+type Leader struct {
 	Record *Record
 	Lease  float64 // that it gives
 	Limit  float64 // after which a change that is not everywhere prepared is given up
 
 	began   float64
-	noticed float64    // when the change that is being prepared was first seen by this desk
+	noticed float64    // when the change that is being prepared was first seen by this one
 	number  uint64     // that change's
 	heard   []instance // in the order of names and processes
 }
@@ -38,19 +38,19 @@
 	begun uint64
 }
 
-// Open makes the desk of a steward whose lead begins.
-func Open(r *Record, lease, limit, now float64) *Desk {
-	return &Desk{Record: r, Lease: lease, Limit: limit, began: now}
+// Open begins a steward's lead.
+func Open(r *Record, lease, limit, now float64) *Leader {
+	return &Leader{Record: r, Lease: lease, Limit: limit, began: now}
 }
 
 // Wait is for how long after its last question a gatherer may still act by a lease: beyond it, by any
 // clock, it acts within its floor.
-func (d *Desk) Wait() float64 { return d.Lease * (1 + drift) }
+func (d *Leader) Wait() float64 { return d.Lease * (1 + drift) }
 
 // Hear takes a gatherer's question and gives its answer. It has to be asked for at the moment at which
 // the steward is known to lead, by others' word, so that a steward that was stopped and overtaken gives
 // no lease.
-func (d *Desk) Hear(now float64, o Hello) Word {
+func (d *Leader) Hear(now float64, o Hello) Word {
 	w := d.Record.Word()
 	in := instance{name: o.Name, process: o.Process}
 	i, found := slices.BinarySearchFunc(d.heard, in, func(a, b instance) int {
@@ -75,7 +75,7 @@
 }
 
 // live are the processes that may still act by a lease, in the order of their names.
-func (d *Desk) live(now float64) []instance {
+func (d *Leader) live(now float64) []instance {
 	d.heard = slices.DeleteFunc(d.heard, func(in instance) bool { return now > in.at+d.Wait()+d.Limit })
 	var all []instance
 	for _, in := range d.heard {
@@ -88,7 +88,7 @@
 
 // Decide says whether the change that is being prepared is to be decided or given up now, nothing where
 // neither; and for people what is waited for.
-func (d *Desk) Decide(now float64) (c *Command, waits string) {
+func (d *Leader) Decide(now float64) (c *Command, waits string) {
 	change := d.Record.Change
 	if change == nil {
 		return nil, ""
@@ -147,7 +147,7 @@
 
 // Standings are all gatherers that are known or were heard, by name; of one with several processes the
 // one that is the furthest behind.
-func (d *Desk) Standings(now float64) (all []Standing) {
+func (d *Leader) Standings(now float64) (all []Standing) {
 	number := uint64(0)
 	if d.Record.Change != nil {
 		number = d.Record.Change.Number
@@ -200,7 +200,7 @@
 
 // Everywhere reports whether the policy in force is all that any gatherer acts by, but for those that are
 // alone, and names those that lack; standings are those of the same moment.
-func (d *Desk) Everywhere(now float64, standings []Standing) (holds bool, missing []string) {
+func (d *Leader) Everywhere(now float64, standings []Standing) (holds bool, missing []string) {
 	if now <= d.began+d.Wait() { // somebody may act by the word of the steward before this one
 		missing = append(missing, "who asked the steward that led before")
 	}
--- a/logic/policy/model_test.go
+++ b/logic/policy/model_test.go
@@ -43,19 +43,19 @@
 type world struct {
 	now                           float64
 	rec                           *Record // never changed in place
-	desk                          Desk
-	stale                         *Desk // of the steward that led before, with the record as it was then
+	leader                        Leader
+	stale                         *Leader // of the steward that led before, with the record as it was then
 	nodes                         []node
 	crashes, stops, losses, moves int
 	proposed                      bool
 }
 
 // variant is the model with a piece left out.
-type variant struct{ noMeet, noFloor, noWire, noSettle, noWait, noProof bool }
+type variant struct{ noIntersection, noFloor, noWire, noSettle, noWait, noProof bool }
 
 func (w *world) clone() *world {
 	c := *w
-	c.desk.heard = slices.Clone(w.desk.heard)
+	c.leader.heard = slices.Clone(w.leader.heard)
 	c.nodes = slices.Clone(w.nodes)
 	if w.stale != nil {
 		s := *w.stale
@@ -71,7 +71,7 @@
 	next.History, next.Members = slices.Clone(next.History), slices.Clone(next.Members)
 	if _, err := next.Apply(c); err == nil {
 		w.rec = &next
-		w.desk.Record = w.rec
+		w.leader.Record = w.rec
 	}
 }
 
@@ -128,7 +128,7 @@
 			}
 			b = append(b, '!', byte(n.word.Epoch), byte(n.word.Last), c)
 		}
-		for _, d := range []*Desk{&w.desk, w.stale} {
+		for _, d := range []*Leader{&w.leader, w.stale} {
 			if d == nil {
 				continue
 			}
@@ -142,7 +142,7 @@
 		each = append(each, b)
 	}
 	slices.SortFunc(each, bytes.Compare)
-	b := []byte{byte(w.rec.Epoch), byte(w.rec.Last), bit(w.rec.Change != nil), ago(w.desk.began, 2), byte(w.desk.number), ago(w.desk.noticed, w.desk.Limit+1),
+	b := []byte{byte(w.rec.Epoch), byte(w.rec.Last), bit(w.rec.Change != nil), ago(w.leader.began, 2), byte(w.leader.number), ago(w.leader.noticed, w.leader.Limit+1),
 		byte(w.crashes), byte(w.stops), byte(w.losses), byte(w.moves), bit(w.proposed)}
 	if w.stale != nil {
 		b = append(b, byte(w.stale.Record.Epoch), bit(w.stale.Record.Change != nil))
@@ -187,14 +187,14 @@
 	if w.rec.Change != nil {
 		then(func(c *world) {
 			if v.noSettle {
-				for i := range c.desk.heard {
-					c.desk.heard[i].hello.Settled = true
+				for i := range c.leader.heard {
+					c.leader.heard[i].hello.Settled = true
 				}
 			}
 			if v.noWait {
-				c.desk.began = math.Inf(-1)
+				c.leader.began = math.Inf(-1)
 			}
-			if cmd, _ := c.desk.Decide(c.now); cmd != nil {
+			if cmd, _ := c.leader.Decide(c.now); cmd != nil {
 				c.commit(*cmd)
 			}
 		})
@@ -202,19 +202,19 @@
 	if w.moves > 0 {
 		then(func(c *world) {
 			c.moves--
-			before := c.desk
+			before := c.leader
 			before.heard = slices.Clone(before.heard)
 			if v.noProof {
 				c.stale = &before
 			}
-			c.desk = *Open(c.rec, c.desk.Lease, c.desk.Limit, c.now)
+			c.leader = *Open(c.rec, c.leader.Lease, c.leader.Limit, c.now)
 		})
 	}
 	for i := range w.nodes {
 		n := &w.nodes[i]
 		if n.asked >= 0 && n.word == nil { // a question that is late comes to the steward
 			then(func(c *world) {
-				word := c.desk.Hear(c.now, c.nodes[i].hello)
+				word := c.leader.Hear(c.now, c.nodes[i].hello)
 				c.nodes[i].word = &word
 			})
 		}
@@ -251,7 +251,7 @@
 			}
 			then(func(c *world) {
 				m := ask(c)
-				word := c.desk.Hear(c.now, m.hello)
+				word := c.leader.Hear(c.now, m.hello)
 				m.word = &word
 			})
 			if w.losses > 0 {
@@ -270,7 +270,7 @@
 				m := &c.nodes[i]
 				before, way := m.h.acts, m.h.ways
 				m.h.Hear(m.asked, c.now, *m.word)
-				if v.noMeet && m.word.Change != nil && m.h.leased {
+				if v.noIntersection && m.word.Change != nil && m.h.leased {
 					m.h.acts = m.word.Change.Policy
 				}
 				if v.noFloor && m.h.leased {
@@ -333,14 +333,14 @@
 func explore(v variant, gatherers int, faults [4]int, limit int) (states, through int, wrong string) {
 	rec := &Record{Epoch: 1, Last: 1, Policy: oldPolicy}
 	first := &world{rec: rec, crashes: faults[0], stops: faults[1], losses: faults[2], moves: faults[3]}
-	first.desk = *Open(rec, 1, 2, -10)
+	first.leader = *Open(rec, 1, 2, -10)
 	for i := range gatherers {
 		m := Member{Name: nodeNames[i], Floor: bothShut, Knows: Kinds()}
 		first.commit(Command{Register: &m})
 		n := node{h: *NewHolder(bothShut, Fence{}, nil), asked: -1}
 		hello := n.h.Hello(0)
 		hello.Member, hello.Process = m, "0"
-		n.h.Hear(0, 0, first.desk.Hear(0, hello)) // all begin with a lease and the old policy
+		n.h.Hear(0, 0, first.leader.Hear(0, hello)) // all begin with a lease and the old policy
 		first.nodes = append(first.nodes, n)
 	}
 	seen := map[string]bool{first.key(): true}
@@ -396,7 +396,7 @@
 		name   string
 		v      variant
 		faults [4]int
-	}{{"no meet", variant{noMeet: true}, [4]int{}}, {"no floor", variant{noFloor: true}, [4]int{0, 1, 0, 0}}, {"no fence at the wire", variant{noWire: true}, [4]int{0, 1, 0, 0}},
+	}{{"no intersection", variant{noIntersection: true}, [4]int{}}, {"no floor", variant{noFloor: true}, [4]int{0, 1, 0, 0}}, {"no fence at the wire", variant{noWire: true}, [4]int{0, 1, 0, 0}},
 		{"lookups in hand not waited for", variant{noSettle: true}, [4]int{}}, {"a new lead does not wait", variant{noWait: true}, [4]int{0, 0, 0, 1}},
 		{"a lead not proved", variant{noProof: true}, [4]int{0, 0, 0, 1}}} {
 		t.Run(c.name, func(t *testing.T) {
--- a/logic/policy/policy.go
+++ b/logic/policy/policy.go
@@ -1,16 +1,16 @@
-// Package policy decides what a gatherer may do while the operators' policy changes under a whole fleet:
-// what a policy says and what both of two allow, when a change is prepared, decided or given up, and what
-// a gatherer acts by in each moment from what it has heard and when.
+// Package policy decides what a gatherer may do while the operators' policy changes under a whole
+// fleet: what a policy says and what both of two allow, when a change is prepared, decided or given
+// up, and what a gatherer acts by in each moment from what it has heard and when.
 //
 // A change is first prepared: each gatherer acts within both policies, the one in force and the one to
-// come, by their meet. It is decided once every gatherer is known to do so, or to have heard nothing for
-// so long that it acts within its floor, which every policy has to allow. So no two gatherers ever act by
-// policies of which one forbids what the other does; nobody is waited for to serve; and whoever is away
-// comes back within what holds.
+// come, by their intersection. It is decided once every gatherer is known to do so, or to have heard
+// nothing for so long that it acts within its floor, which every policy has to allow. So no two
+// gatherers ever act by policies of which one forbids what the other does; nobody is waited for to
+// serve; and whoever is away comes back within what holds.
 //
-// It never makes anything looser than the platform's settings; never goes back an epoch; and never counts
-// on a clock but its own, and on that only to run as fast as others' within a stated bound. Why so, with
-// what was weighed: docs/design/policy.md.
+// It never makes anything looser than the platform's settings; never goes back an epoch; and never
+// counts on a clock but its own, and on that only to run as fast as others' within a stated bound. Why
+// so, with what was weighed: docs/design/policy.md.
 package policy
 
 import (
@@ -170,9 +170,9 @@
 	return min(a, b)
 }
 
-// Meet is what both of two policies allow. Every kind has one: where the tighter of two values can't be
+// Intersect is what both of two policies allow. Every kind has one: where the tighter of two values can't be
 // told there could be no time between two policies, and such a kind is not to be had.
-func Meet(p, q Policy) Policy {
+func Intersect(p, q Policy) Policy {
 	both := make(Policy, 0, len(p)+len(q))
 	for i, j := 0, 0; i < len(p) || j < len(q); {
 		order := -1
@@ -241,7 +241,7 @@
 		}
 		lines = append(lines, Line{tightens, subject + text})
 	}
-	for _, e := range Meet(from, to) { // each kind and subject that either has, once
+	for _, e := range Intersect(from, to) { // each kind and subject that either has, once
 		t := traits[e.Kind]
 		old, had := from.find(e.Kind, e.Of)
 		now, has := to.find(e.Kind, e.Of)
--- a/logic/policy/policy_test.go
+++ b/logic/policy/policy_test.go
@@ -35,24 +35,24 @@
 	return must(t, entries...)
 }
 
-// TestMeet: a meet is within both, is the loosest that is, and goes by no order; what is within two is within their meet.
-func TestMeet(t *testing.T) {
+// TestIntersect: an intersection is within both, is the loosest that is, and goes by no order; what is within two is within it.
+func TestIntersect(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p, q, r := drawPolicy(t, "p"), drawPolicy(t, "q"), drawPolicy(t, "r")
-		m := Meet(p, q)
-		if !reflect.DeepEqual(m, Meet(q, p)) || !reflect.DeepEqual(append(Policy{}, p...), append(Policy{}, Meet(p, p)...)) {
+		m := Intersect(p, q)
+		if !reflect.DeepEqual(m, Intersect(q, p)) || !reflect.DeepEqual(append(Policy{}, p...), append(Policy{}, Intersect(p, p)...)) {
 			t.Fatalf("%v, %v: %v", p, q, m)
 		}
 		if ordered, err := Order(m); err != nil || !reflect.DeepEqual(append(Policy{}, ordered...), append(Policy{}, m...)) {
 			t.Fatalf("%v is out of order: %v", m, err)
 		}
 		if w := append(Within(m, p), Within(m, q)...); len(w) > 0 {
-			t.Fatalf("the meet of %v and %v does what one forbids: %v", p, q, w)
+			t.Fatalf("the intersection of %v and %v does what one forbids: %v", p, q, w)
 		}
 		if len(Within(r, p))+len(Within(r, q)) == 0 && len(Within(r, m)) > 0 {
-			t.Fatalf("%v is within both and not within their meet %v", r, m)
+			t.Fatalf("%v is within both and not within their intersection %v", r, m)
 		}
-		if !reflect.DeepEqual(Meet(Meet(p, q), r), Meet(p, Meet(q, r))) {
+		if !reflect.DeepEqual(Intersect(Intersect(p, q), r), Intersect(p, Intersect(q, r))) {
 			t.Fatalf("%v, %v, %v: the order counts", p, q, r)
 		}
 		for _, host := range []string{"s1", "s2"} {
@@ -318,7 +318,7 @@
 		q = append(q, Entry{Kind: Closed, Of: fmt.Sprintf("north/s%02d", i+20)})
 	}
 	for b.Loop() {
-		Meet(p, q)
+		Intersect(p, q)
 	}
 }
 
