--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -391,6 +391,21 @@
 	}
 }
 
+// sharedFollower follows the list of a service that answers only when asked; it knows a list already.
+func sharedFollower(t *testing.T, agent *httptest.Server) *Follower {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := New(strings.TrimPrefix(agent.URL, "http://"), func(gather.List, []shardcall.Address) {}, nil, log)
+	f.Shared()
+	known, err := Parse([]byte(whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Take(known)
+	return f
+}
+
 // TestSharedService: a service that answers only when asked refuses all calls for a while. It is asked by one call at a
 // time, ever more seldom, and with what is newer than the last list; it was asked twenty times a second, by up to five
 // calls at once, for the whole list, so that a few gatherers together kept it from answering any.
@@ -415,15 +430,7 @@
 		<-r.Context().Done()
 	}))
 	defer agent.Close()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	f := New(strings.TrimPrefix(agent.URL, "http://"), func(gather.List, []shardcall.Address) {}, nil, log)
-	f.Shared()
-	known, err := Parse([]byte(whole))
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.Take(known)
+	f := sharedFollower(t, agent)
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { f.Run(ctx); close(ended) }()
@@ -435,7 +442,7 @@
 	var before time.Time
 	for n := range refusals + 1 {
 		c := <-calls
-		if want := "index=" + strconv.FormatInt(known.Revision, 10) + "&"; !strings.HasPrefix(c.query, want) {
+		if want := "index=" + strconv.FormatInt(f.revision, 10) + "&"; !strings.HasPrefix(c.query, want) {
 			t.Errorf("call %d asks for %q, not from %q on", n, c.query, want)
 		}
 		if least := time.Duration(backoff.Pause(n, 0)) * time.Millisecond; n > 0 && c.at.Sub(before) < least {
@@ -456,15 +463,7 @@
 		io.WriteString(w, `{"revision":0,"complete":false,"members":[]}`)
 	}))
 	defer agent.Close()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	f := New(strings.TrimPrefix(agent.URL, "http://"), func(gather.List, []shardcall.Address) {}, nil, log)
-	f.Shared()
-	known, err := Parse([]byte(whole))
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.Take(known)
+	f := sharedFollower(t, agent)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	go f.Run(ctx)
