One quantile for scale tests and emulated policies; what nothing used is taken out

internal/scale and yokelab policies each worked quantiles out; order.Quantile serves both, by the same rank, and is compared with sorting. Taken out: seven constants and a field that nothing read, and a wrapper round a Picker that already fits.

--- a/cmd/yokelab/policies.go
+++ b/cmd/yokelab/policies.go
@@ -3,11 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
-	"sort"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
 
+	"yokeroute/internal/order"
 	"yokeroute/internal/policy/emulated"
 	"yokeroute/internal/runs"
 )
@@ -102,13 +102,6 @@
 			row.InTime += 1 / float64(len(all))
 		}
 	}
-	at := func(values []float64, share float64) float64 {
-		if len(values) == 0 {
-			return 0
-		}
-		sort.Float64s(values)
-		return values[min(int(share*float64(len(values))), len(values)-1)]
-	}
-	row.DecideP50, row.DecideP99, row.AllP50, row.AllP99 = at(decide, 0.5), at(decide, 0.99), at(all, 0.5), at(all, 0.99)
+	row.DecideP50, row.DecideP99, row.AllP50, row.AllP99 = order.Quantile(decide, 0.5), order.Quantile(decide, 0.99), order.Quantile(all, 0.5), order.Quantile(all, 0.99)
 	return row
 }
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -11,6 +11,14 @@
 	return kth(values, len(values)/2)
 }
 
+// Quantile is the value at a share of the values in their order, 0 where there are none. It leaves the values as they are.
+func Quantile(values []float64, share float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	return kth(slices.Clone(values), min(int(share*float64(len(values))), len(values)-1))
+}
+
 // kth is the value that would stand at k if values were sorted, for k within them. It moves values about but
 // does not sort them: Hoare's selection takes time by their number, where sorting thousands in each round took
 // three fifths of a gatherer's CPU.
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -36,3 +36,26 @@
 		t.Errorf("the median of nothing is %v", got)
 	}
 }
+
+// TestQuantile compares with sorting, at the ends, in the middle and between, and leaves the values as they are.
+func TestQuantile(t *testing.T) {
+	if got := Quantile(nil, 0.5); got != 0 {
+		t.Errorf("of nothing: %v", got)
+	}
+	chance := pcg.New(3)
+	for n := 1; n < 200; n += 7 {
+		values := make([]float64, n)
+		for i := range values {
+			values[i] = float64(chance.Uint32() % 50)
+		}
+		before, ordered := slices.Clone(values), slices.Sorted(slices.Values(values))
+		for _, share := range []float64{0, 0.25, 0.5, 0.99, 1} {
+			if got, want := Quantile(values, share), ordered[min(int(share*float64(n)), n-1)]; got != want {
+				t.Errorf("of %d at %v: %v, want %v", n, share, got, want)
+			}
+		}
+		if !slices.Equal(values, before) {
+			t.Fatal("the values were moved")
+		}
+	}
+}
--- a/internal/scale/connections.go
+++ b/internal/scale/connections.go
@@ -19,10 +19,9 @@
 // ConnectionCost is what connections to shard servers cost a gatherer at rest.
 type ConnectionCost struct {
 	Connections int
-	Open        int     // that the pool holds
+	Open        int     // that the pool holds, each with a descriptor
 	Bytes       float64 // heap and stacks of each, of the pool's side and of the far side together
 	Bare        float64 // the same of a bare connection, which nobody reads on the near side
-	Descriptors int     // of the near side
 }
 
 const connectionWait = 60 * time.Second
@@ -70,9 +69,6 @@
 	}
 }
 
-// reporter hands the ends of part calls on.
-type reporter struct{ *pick.Picker }
-
 // Connections opens so many connections, to one shard server each, by one lookup, and measures them at rest.
 func Connections(ctx context.Context, count int) (c ConnectionCost, err error) {
 	if count < 1 {
@@ -87,7 +83,7 @@
 	if err != nil {
 		return c, err
 	}
-	c = ConnectionCost{Connections: count, Bare: bare, Descriptors: count}
+	c = ConnectionCost{Connections: count, Bare: bare}
 	before := memory()
 	pool, err := pooledConnections(ctx, far.Addr().String(), count)
 	if err != nil {
@@ -125,7 +121,7 @@
 		"connect time-out": 10_000.0, "idle close": 3_600_000.0, "parts a call": 1.0, "streams": 100.0, "call off": true,
 		"find/soft deadline": 30_000.0, "find/hard deadline": 60_000.0, "find/whole from": 1.0, "find/least share": 1.0, "find/effect": "idempotent"}
 	picker := pick.New(1, terms, log)
-	pool := shardcall.New(terms, count, reporter{picker}, log)
+	pool := shardcall.New(terms, count, picker, log)
 	list, addresses := gather.List{Full: true}, make([]shardcall.Address, count)
 	lk := &pick.Lookup{ID: "scale", Index: "find", GiveUpAt: picker.Now() + 60_000, Text: []byte("q")}
 	for i := range count {
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -13,19 +13,12 @@
 
 // The design size: what the operators told for the next two years.
 const (
-	DesignGatherers     = 3600
-	DesignServers       = 28_000
-	DesignParts         = 640
-	DesignZones         = 12
-	DesignRegions       = 3
-	DesignQueryRate     = 550_000.0 / DesignGatherers // a second and gatherer
-	DesignChangesADay   = 1900
-	DesignFailuresADay  = 36
-	DesignRestartsADay  = 6600
-	DesignControlHosts  = 11
-	secondsADay         = 86_400.0
-	DesignZoneServers   = DesignServers / DesignZones
-	DesignZoneGatherers = DesignGatherers / DesignZones
+	DesignGatherers = 3600
+	DesignServers   = 28_000
+	DesignParts     = 640
+	DesignZones     = 12
+	DesignRegions   = 3
+	DesignQueryRate = 550_000.0 / DesignGatherers // a second and gatherer
 )
 
 // Budgets of a gatherer's control work, of a change, and of an answer.
--- a/internal/scale/slope.go
+++ b/internal/scale/slope.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"gonum.org/v1/gonum/stat"
+
+	"yokeroute/internal/order"
 )
 
 // Sample is one measurement at one size.
@@ -43,7 +45,7 @@
 	}
 	if len(sizes) < 2 || slices.Min(sizes) == slices.Max(sizes) {
 		if len(values) > 0 {
-			f.AtDesign, f.Extrapolated = median(values), len(there) == 0
+			f.AtDesign, f.Extrapolated = order.Quantile(values, 0.5), len(there) == 0
 		}
 		return
 	}
@@ -53,7 +55,7 @@
 		f.AtDesign = base + slope*f.Design
 		return
 	}
-	f.AtDesign = median(there)
+	f.AtDesign = order.Quantile(there, 0.5)
 }
 
 // Factor is how often the budget goes into the value at the design size; 0 where there is no budget.
@@ -77,14 +79,3 @@
 	}
 	return math.Sqrt(residues / float64(len(sizes)-2) / spread)
 }
-
-func median(values []float64) float64 { return quantile(values, 0.5) }
-
-// quantile is the value at a share of the values in their order, 0 where there are none.
-func quantile(values []float64, share float64) float64 {
-	if len(values) == 0 {
-		return 0
-	}
-	ordered := slices.Sorted(slices.Values(values))
-	return ordered[min(int(share*float64(len(ordered))), len(ordered)-1)]
-}
