Load estimate: a queue delays by the work, not by the measured latency

Callers saw 503 from a gatherer whose servers were hardly loaded: of 173 queries 120 were served (TestMigratedConfigurationServes, known red). Where load is reported on a health check, the latency that a query is to expect was max(reported, measured) x (1 + queue / 2). The measured latency holds the way and the queue already, and the attempts on the way counted as the queue, so that a delay counted about squared: at 200 ms on the way and an objective of 1,000 ms the shedding took its estimate for 480 to 850 ms.

The queue now multiplies the reported work alone, and the measured latency is a lower bound. Where a report has no latency the measured one stands in, as before. The scenario far_servers fails without the change (seven of eight queries rejected).

--- a/logic/load.go
+++ b/logic/load.go
@@ -118,11 +118,16 @@
 	return max(e.latency(server), ageFactor*age/max(inFlight, 1))
 }
 
-// reportedLatency is what a load report makes a request take behind a queue. The reported latency is
-// clamped: a server that was slow reports so until it has answered more requests, which nobody would send
-// it.
+// reportedLatency is what a load report makes a request take behind a queue. The reported latency is that of
+// the work alone. It is clamped: a server that was slow reports so until it has answered more requests, which
+// nobody would send it. The measured latency holds the way and the queue already, and is not multiplied by
+// the queue once more unless it is all that is known of the work.
 func (e *latencyEstimator) reportedLatency(server int, queue float64) float64 {
 	report := &e.servers.get(server).load
-	work := min(max(report.latency, e.latency(server)), maxReportMultiple*e.windowMedian)
-	return report.checkDuration + work*(1+queue/concurrentWork)
+	measured := min(e.latency(server), maxReportMultiple*e.windowMedian)
+	work := min(report.latency, maxReportMultiple*e.windowMedian)
+	if report.latency < 0 {
+		work = measured
+	}
+	return max(report.checkDuration+work*(1+queue/concurrentWork), measured)
 }
