Lateness: the time in which rounds were held up is not an attempt's age

Callers saw 503 from a gatherer that had been held up: after each pause it took all that was in flight for late, although the responses waited unread, cancelled it, and rejected the queries whose attempts had all been cancelled when their latency objective was over.

The dispatch loop tells by how much a round comes later than the module has requested (Round.HeldUp); the decisions leave that time out of an attempt's age. Deadlines and the window for repeats go by the clock as before.

--- a/gather/gather.go
+++ b/gather/gather.go
@@ -7,6 +7,7 @@
 // Round is all that was observed since the last one, each slice in the order of arrival.
 type Round struct {
 	Now           float64
+	HeldUp        float64   // for how long this round was held up after the time that Wake had requested
 	Settings      *Settings // nil where they are unchanged; a query is decided by those at its arrival
 	EndpointLists []EndpointList
 	Weights       [][]Weight // by replica set, nil where they are unchanged; a set without any uses plain round robin
--- a/internal/gatherer/dispatch/picker_test.go
+++ b/internal/gatherer/dispatch/picker_test.go
@@ -205,3 +205,34 @@
 		t.Errorf("%d servers, %d ids, %d queries, %d shard requests, %d open", len(p.endpoints.byID), len(p.endpoints.order), len(p.queries.byID), len(p.queries.requests), p.intake.open)
 	}
 }
+
+// TestRoundsTellHowLongTheyWereHeldUp guards against a process that was held up and takes answers it has not read yet
+// for late ones: a round says by how much it comes after the time that the module requested.
+func TestRoundsTellHowLongTheyWereHeldUp(t *testing.T) {
+	p := newPicker(t, nil)
+	var heldUp []float64
+	p.module.Module = heldUpRecorder{Module: p.module.Module, heldUp: &heldUp}
+	p.clock.override = func() float64 { return p.schedule.lastAt }
+	p.runRound(1000)
+	p.submit(newQuery("all", 1, 5000))
+	p.runRound(1005) // requests the next one for 1015
+	p.runRound(1015)
+	p.submit(newQuery("all", 1, 5000))
+	p.runRound(1020) // by an input, before the one that is requested for 1025
+	p.runRound(1325)
+	p.runRound(1335)
+	if want := []float64{0, 0, 0, 0, 300, 0}; !slices.Equal(heldUp, want) {
+		t.Errorf("held up for %v, want %v", heldUp, want)
+	}
+}
+
+// heldUpRecorder is a module that records for how long its rounds were held up.
+type heldUpRecorder struct {
+	gather.Module
+	heldUp *[]float64
+}
+
+func (m heldUpRecorder) Round(in *gather.Round, w gather.Writer) {
+	*m.heldUp = append(*m.heldUp, in.HeldUp)
+	m.Module.Round(in, w)
+}
--- a/internal/gatherer/dispatch/round.go
+++ b/internal/gatherer/dispatch/round.go
@@ -32,11 +32,14 @@
 	return max(at, s.lastAt+s.interval)
 }
 
-func (s *schedule) begin(now float64) {
+// begin notes that a round begins. It returns for how long it was held up after the time that the module requested.
+func (s *schedule) begin(now float64) (heldUp float64) {
+	requestedAt := s.nextAt(false)
 	s.lastAt = now
 	if s.wakeAt <= now {
 		s.wakeAt = math.Inf(1)
 	}
+	return max(now-requestedAt, 0)
 }
 
 // RunRound blocks until a round is due and runs it on all input that has come. It returns an error only when ctx
@@ -68,7 +71,7 @@
 func (p *Picker) runRound(now float64) Actions {
 	in := p.intake.drain()
 	p.actions = Actions{}
-	p.schedule.begin(now)
+	in.HeldUp = p.schedule.begin(now)
 	p.applyEndpointLists(in.EndpointLists)
 	if in.Weights != nil {
 		p.module.weights = in.Weights
--- a/logic/advance.go
+++ b/logic/advance.go
@@ -151,6 +151,6 @@
 		return true
 	}
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool {
-		return !a.ended && g.now-a.startedAt <= lateAfterMultiple*g.latencies.attemptLatency(a)
+		return !a.ended && g.latencies.age(a, g.now) <= lateAfterMultiple*g.latencies.attemptLatency(a)
 	})
 }
--- a/logic/dispatch.go
+++ b/logic/dispatch.go
@@ -43,10 +43,11 @@
 	g.replicas.recordChoice(g.servers.replicaSet(r.Shard), replica, g.now, g.settings)
 	saved := r.query.FullCallExtra
 	a := &attempt{
-		request:   r,
-		server:    replica,
-		startedAt: g.now - saved,
-		weight:    max(1-saved/max(g.latencies.latency(replica), 1), minAttemptWeight),
+		request:      r,
+		server:       replica,
+		startedAt:    g.now - saved,
+		heldUpBefore: g.latencies.heldUp,
+		weight:       max(1-saved/max(g.latencies.latency(replica), 1), minAttemptWeight),
 	}
 	r.attempts = append(r.attempts, a)
 	r.inFlight++
--- a/logic/estimates.go
+++ b/logic/estimates.go
@@ -47,6 +47,7 @@
 	currentMedian     float64 // of attempts in flight and of those that succeeded of late
 	succeededAtWarm   float64 // attempts since the last round, at servers that are warmed up
 	attemptLatencies  []float64
+	heldUp            float64 // for how long rounds were held up, in all
 }
 
 func newLatencyEstimator(
@@ -78,6 +79,12 @@
 	return e.defaultLatency
 }
 
+// age is for how long an attempt has been in flight, without the time in which rounds were held up: the
+// process did not read responses then, which says nothing of the server.
+func (e *latencyEstimator) age(a *attempt, now float64) float64 {
+	return now - a.startedAt - (e.heldUp - a.heldUpBefore)
+}
+
 // attemptLatency is what an attempt should take. The median of all servers bounds it, since a server that
 // slows down steadily never takes twice its own s; a request of a high cost may take longer.
 func (e *latencyEstimator) attemptLatency(a *attempt) float64 {
@@ -89,7 +96,7 @@
 func (e *latencyEstimator) record(a *attempt, outcome gather.Outcome, now float64) {
 	e.records.MarkChanged(a.server)
 	succeeded := outcome == gather.Succeeded
-	latency := now - a.startedAt
+	latency := e.age(a, now)
 	limit := lateMultiple * e.attemptLatency(a)
 	late := latency > limit
 	r := callstats.Record{
@@ -122,7 +129,7 @@
 	e.servers.removeIdle()
 	for _, server := range e.servers.busy {
 		for _, a := range e.servers.get(server).inFlight {
-			latencies = append(latencies, max(e.latency(server), ageFactor*(now-a.startedAt)))
+			latencies = append(latencies, max(e.latency(server), ageFactor*e.age(a, now)))
 		}
 		e.estimate(server, now)
 	}
@@ -151,7 +158,7 @@
 	count, failed, extra := sums.Count, sums.Failed, sums.ExtraLatency
 	s := e.servers.get(server)
 	for _, a := range s.inFlight {
-		if late := now - a.startedAt - lateMultiple*e.attemptLatency(a); late > 0 {
+		if late := e.age(a, now) - lateMultiple*e.attemptLatency(a); late > 0 {
 			count++
 			failed++
 			extra += late
--- a/logic/load.go
+++ b/logic/load.go
@@ -106,7 +106,7 @@
 	}
 	age, sinceReport := 0.0, 0.0
 	for _, a := range s.inFlight {
-		age += now - a.startedAt
+		age += e.age(a, now)
 		if a.startedAt >= s.load.receivedAt {
 			sinceReport++
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,8 +30,12 @@
 	"yokeroute/logic/slowstart"
 )
 
-// wakeTicks is how many ticks apart rounds are while there is something to wait for.
-const wakeTicks = 2
+const (
+	// wakeTicks is how many ticks apart rounds are while there is something to wait for.
+	wakeTicks = 2
+	// heldUpTicks is by how much a round has to be late for the process to count as held up.
+	heldUpTicks = 4
+)
 
 // Gatherer holds all state of one instance.
 type Gatherer struct {
@@ -73,6 +77,9 @@
 // Round takes what was observed since the last round, and decides.
 func (g *Gatherer) Round(in *gather.Round, w gather.Writer) {
 	elapsed, decay := g.startRound(in.Now, w)
+	if in.HeldUp > heldUpTicks*g.tick() {
+		g.latencies.heldUp += in.HeldUp
+	}
 	if in.Settings != nil {
 		g.applySettings(in.Settings)
 	}
--- a/logic/query.go
+++ b/logic/query.go
@@ -48,6 +48,7 @@
 	request       *shardRequest
 	server        int
 	startedAt     float64 // earlier than it was sent by what a first pass saves
+	heldUpBefore  float64 // for how long rounds had been held up, in all, when it was sent
 	weight        float64 // of its record: a first pass says less than a call in full
 	ended         bool
 	neverExecuted bool // it is proved that the server did not execute it
--- a/logic/replica.go
+++ b/logic/replica.go
@@ -217,7 +217,7 @@
 // cannot be sent again.
 func (p *replicaPicker) passedOver(server int, r *shardRequest, now float64) bool {
 	if last := p.servers.get(server).lastAttempt; last != nil && !last.ended {
-		late := now-last.startedAt > lateMultiple*p.latencies.latency(server)
+		late := p.latencies.age(last, now) > lateMultiple*p.latencies.latency(server)
 		if late || !p.loadsReported && p.latencies.records.Count(server) == 0 {
 			return true
 		}
--- a/logic/retry.go
+++ b/logic/retry.go
@@ -123,7 +123,7 @@
 		return
 	}
 	replica := g.replicas.next(r, g.now)
-	if replica == noReplica || g.latencies.expectedLatency(replica, g.now) >= g.now-late.startedAt {
+	if replica == noReplica || g.latencies.expectedLatency(replica, g.now) >= g.latencies.age(late, g.now) {
 		return
 	}
 	late.cancelled = true
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -18,6 +18,7 @@
 //	set FIELD = VALUE               of gather.Settings, or CLASS/FIELD, before the first round; a number, yes, no
 //	                                or a word
 //	at MS[: LINE]                   the next round begins; what follows comes in with it
+//	held-up MS                      the round was held up for so long after it was due
 //	list SERVER:SET[:STARTED][:draining][:first-pass][:zone=ZONE] ...
 //	                                the full endpoint list; the first one tells how many replica sets there are
 //	list-failed                     a call to discovery has failed
@@ -58,6 +59,7 @@
 	scenarioLines = map[string]scenarioLine{
 		"set":          (*scenario).set,
 		"at":           (*scenario).at,
+		"held-up":      (*scenario).heldUp,
 		"list":         (*scenario).list,
 		"list-failed":  (*scenario).listFailed,
 		"query":        (*scenario).query,
@@ -191,6 +193,8 @@
 	}
 }
 
+func (s *scenario) heldUp(fields []string) { s.round.HeldUp = s.number(fields, 1) }
+
 func (s *scenario) list(fields []string) {
 	list := gather.EndpointList{Full: true}
 	for _, entry := range fields[1:] {
