Load outcomes describe the queries that were not served, and tests their scheduling

Cause: TestMigratedConfigurationServes told only sums, so that neither the time and the answer of the queries that were not served were known, nor whether the process had had a processor. Change: an outcome holds the first hundred of them with status, times and how late the load was; a test with the fixture's gatherer that fails tells how long its process ran and waited for a processor.

--- a/internal/gatherer/service/fixture_test.go
+++ b/internal/gatherer/service/fixture_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"yokeroute/internal/config/operator"
 	"yokeroute/internal/config/platform"
+	"yokeroute/internal/process"
 	"yokeroute/internal/testbed/experiment"
 	"yokeroute/internal/testbed/standin/shardserver"
 )
@@ -46,6 +48,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(fleet.Close)
+	reportSchedulingOnFailure(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -72,6 +75,20 @@
 	}
 }
 
+// reportSchedulingOnFailure has a test that fails tell whether its process got too little time: the gatherer, the
+// servers and the load share it.
+func reportSchedulingOnFailure(t *testing.T) {
+	waitedBefore := process.SchedulerWait(os.Getpid())
+	usedBefore := process.UsageOf(os.Getpid()).CPU
+	startedAt := time.Now()
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("in %v this process ran for %.2f s and waited %v for a processor", time.Since(startedAt),
+				process.UsageOf(os.Getpid()).CPU-usedBefore, process.SchedulerWait(os.Getpid())-waitedBefore)
+		}
+	})
+}
+
 // serveUnderLoad runs a gatherer with an operator's file before a fleet of six, under a load, through whatever the
 // caller does to it, and ends it as a planned restart does.
 func serveUnderLoad(t *testing.T, own *operator.File, during func(f *experiment.Fleet)) *experiment.Outcome {
--- a/internal/process/procfs.go
+++ b/internal/process/procfs.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Identity names this process by its number and its start in Unix milliseconds, so that it differs from those that had
@@ -33,6 +34,9 @@
 	fieldStartTime  = 19
 )
 
+// schedstatWait is the field of /proc/PID/task/TID/schedstat that tells the time of waiting for a processor.
+const schedstatWait = 1
+
 // statFields returns the fields of /proc/PID/stat behind the process's name, nil where there is no such process.
 func statFields(pid int) []string {
 	text, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "stat"))
@@ -69,6 +73,23 @@
 	return u
 }
 
+// SchedulerWait returns for how long the threads of a process were ready to run and waited for a processor, in all; 0
+// where the kernel does not count it.
+func SchedulerWait(pid int) (wait time.Duration) {
+	files, _ := filepath.Glob(filepath.Join("/proc", strconv.Itoa(pid), "task", "*", "schedstat")) // the pattern is valid
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			continue // the thread has ended
+		}
+		if words := strings.Fields(string(text)); len(words) > schedstatWait {
+			nanoseconds, _ := strconv.ParseInt(words[schedstatWait], 10, 64)
+			wait += time.Duration(nanoseconds)
+		}
+	}
+	return wait
+}
+
 // State returns the kernel's letter for a process's state: T for one that was stopped, Z for one that has ended and was
 // not waited for; 0 where there is no such process.
 func State(pid int) byte {
--- a/internal/testbed/experiment/load.go
+++ b/internal/testbed/experiment/load.go
@@ -55,7 +55,8 @@
 			break
 		}
 		first := load.firstShard(random.Float64())
-		time.Sleep(time.Until(next))
+		dueAt := next
+		time.Sleep(time.Until(dueAt))
 		outcome.Sent++
 		queries.Go(func() {
 			sentAt := time.Now()
@@ -64,6 +65,15 @@
 			mu.Lock()
 			defer mu.Unlock()
 			outcome.addAnswer(status, complete, latency, objective)
+			if status != http.StatusOK {
+				outcome.addUnserved(UnservedQuery{
+					Number:    n,
+					SentAt:    sentAt.Sub(start),
+					SendDelay: sentAt.Sub(dueAt),
+					Status:    status,
+					Latency:   latency,
+				})
+			}
 		})
 	}
 	queries.Wait()
--- a/internal/testbed/experiment/outcome.go
+++ b/internal/testbed/experiment/outcome.go
@@ -33,6 +33,19 @@
 	Errors          int                     `json:"Failed"` // no answer, or none that the protocol knows
 	WithinObjective int                     `json:"InAim"`  // served within the latency objective
 	Latency         *hdrhistogram.Histogram `json:"-"`      // of served queries, microseconds
+	Unserved        []UnservedQuery         `json:"-"`      // the first of those that were not served
+}
+
+// maxUnserved bounds the unserved queries that an outcome describes.
+const maxUnserved = 100
+
+// UnservedQuery describes a query that was not served, for the message of a test that fails by it.
+type UnservedQuery struct {
+	Number    int
+	SentAt    time.Duration // since the load began
+	SendDelay time.Duration // by which it was sent late: the load itself was held up
+	Status    int           // of HTTP, 0 without an answer
+	Latency   time.Duration
 }
 
 // NewOutcome returns the outcome of no queries.
@@ -48,6 +61,14 @@
 	o.Errors += other.Errors
 	o.WithinObjective += other.WithinObjective
 	o.Latency.Merge(other.Latency)
+	o.Unserved = append(o.Unserved, other.Unserved...)
+}
+
+// addUnserved describes a query that was not served.
+func (o *Outcome) addUnserved(query UnservedQuery) {
+	if len(o.Unserved) < maxUnserved {
+		o.Unserved = append(o.Unserved, query)
+	}
 }
 
 // addAnswer counts an answer by its HTTP status, 0 for none.
