Rollout: a step's command runs only once its process is recorded

What operators saw: two steps of one gatherer at once. A controller that was killed between starting a step's command and recording its process left a command that the next controller did not wait for (TestControllerContinuesAfterKills, known red, one of three under load).

The same gap stood in the start of a gatherer's process, found only by its command line, which a process does not have before it is executed; it goes the same way. After the record the controller checks once more that none has taken over from it: one that was stopped while it started a command ran it beside its successor's.

Commands with children that outlive them: only the command itself is waited for, as before. Not closed: after a reboot a record may name another process, if ID and start tick happen to be the same.

--- a/internal/control/rollout/commandstep.go
+++ b/internal/control/rollout/commandstep.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -30,7 +31,7 @@
 // commandStepper makes steps by the operator's commands.
 type commandStepper struct{ plan *Plan }
 
-func (s commandStepper) step(ctx context.Context, g int, to rollout.Variant, fencingToken uint64) error {
+func (s commandStepper) step(ctx context.Context, g int, to rollout.Variant, f fence) error {
 	command := s.plan.Commands[to]
 	if err := s.awaitPrevious(ctx, g, command.Timeout); err != nil {
 		return err
@@ -38,16 +39,11 @@
 	ctx, cancel := context.WithTimeout(ctx, command.Timeout)
 	defer cancel()
 	var output bytes.Buffer
-	cmd := s.build(ctx, g, to, fencingToken)
+	cmd := s.build(ctx, g, to, f.token)
 	cmd.Stdout = &output
 	cmd.Stderr = &output
-	err := cmd.Start()
+	err := startRecorded(cmd, func(pid int) error { return cmp.Or(s.recordProcess(g, pid), f.check()) })
 	if err == nil {
-		if err := s.recordProcess(g, cmd.Process.Pid); err != nil {
-			_ = cmd.Cancel() // the error is that of recording
-			_ = cmd.Wait()
-			return err
-		}
 		err = cmd.Wait()
 	}
 	name := s.plan.Gatherers[g].Name
--- a/internal/control/rollout/processstep.go
+++ b/internal/control/rollout/processstep.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -26,7 +27,7 @@
 // that they outlive the controller. Files record which process is whose.
 type processStepper struct{ plan *Plan }
 
-func (s processStepper) step(ctx context.Context, g int, to rollout.Variant, _ uint64) error {
+func (s processStepper) step(ctx context.Context, g int, to rollout.Variant, f fence) error {
 	release := s.plan.release(g, to)
 	target := s.plan.Processes[g]
 	if err := install(release, target); err != nil {
@@ -42,7 +43,7 @@
 	if err := s.terminate(ctx, g, pid); err != nil {
 		return err
 	}
-	return s.start(g, release, target)
+	return s.start(g, release, target, f)
 }
 
 // install replaces the files that a gatherer's process reads by those of a release.
@@ -136,7 +137,7 @@
 }
 
 // start starts a process in a session of its own, so that neither the controller's end nor its terminal reaches it.
-func (s processStepper) start(g int, release Release, target GathererProcess) error {
+func (s processStepper) start(g int, release Release, target GathererProcess, f fence) error {
 	if err := os.MkdirAll(filepath.Dir(s.pidFile(g)), 0o755); err != nil {
 		return err
 	}
@@ -151,13 +152,13 @@
 	cmd.Stdout = log
 	cmd.Stderr = log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setsid: true}
-	if err := cmd.Start(); err != nil {
+	if err := startRecorded(cmd, func(pid int) error { return cmp.Or(s.adopt(g, pid), f.check()) }); err != nil {
 		return fmt.Errorf("gatherer %s: %w", name, err)
 	}
 	// The process outlives the controller by design, and nobody waits for its end here. While the controller runs
 	// it is the parent, and has to collect the exit status for the process to be gone.
 	go func() { _ = cmd.Wait() }()
-	return s.adopt(g, cmd.Process.Pid)
+	return nil
 }
 
 func serveArgs(target GathererProcess) []string {
--- a/internal/control/rollout/round.go
+++ b/internal/control/rollout/round.go
@@ -167,7 +167,7 @@
 	if err := c.reports.claim(ctx, g, c.runID, c.fencingToken); claimRefused(err) {
 		return err
 	}
-	return c.stepper.step(ctx, g, to, c.fencingToken)
+	return c.stepper.step(ctx, g, to, fence{token: c.fencingToken, check: c.journal.CheckSuperseded})
 }
 
 // applyCommand takes the operator's command, where there is a new one.
--- a/internal/control/rollout/stepper.go
+++ b/internal/control/rollout/stepper.go
@@ -9,8 +9,14 @@
 // stepper makes steps.
 type stepper interface {
 	// step makes a gatherer serve as a variant, or returns why it could not. It may be called again for a step that
-	// an earlier controller began. The fencing token is the controller's.
-	step(ctx context.Context, g int, to rollout.Variant, fencingToken uint64) error
+	// an earlier controller began.
+	step(ctx context.Context, g int, to rollout.Variant, f fence) error
+}
+
+// fence keeps a controller from making steps after a later one has taken over.
+type fence struct {
+	token uint64       // the controller's
+	check func() error // returns an error once a later controller has taken over
 }
 
 // newStepper returns the plan's stepper, or that of the overrides.
@@ -36,6 +42,6 @@
 	overrides Overrides
 }
 
-func (s overrideStepper) step(ctx context.Context, g int, to rollout.Variant, _ uint64) error {
+func (s overrideStepper) step(ctx context.Context, g int, to rollout.Variant, _ fence) error {
 	return s.overrides.Step(ctx, s.plan.Gatherers[g].Name, to)
 }
