Rollout: a command that leaves a child behind has succeeded

What operators saw: a step that failed with "WaitDelay expired before I/O complete" although its command ended with status 0: a child that outlives it, as a gatherer that a deploy script starts, held its output. Cause: exec reports the wait for the output's end as an error of its own, and the step took it for the command's. Change: that error is no failure. TestStepEndsWithItsCommand failed before.

--- a/internal/control/rollout/commandstep.go
+++ b/internal/control/rollout/commandstep.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -48,7 +49,7 @@
 	}
 	name := s.plan.Gatherers[g].Name
 	switch {
-	case err == nil:
+	case err == nil, errors.Is(err, exec.ErrWaitDelay): // a child holds the output; the command has succeeded
 		return nil
 	case ctx.Err() != nil:
 		return fmt.Errorf("step of %s: not done after %.0f s: %s", name, command.Timeout.Seconds(),
--- a/internal/control/rollout/recordedstart_test.go
+++ b/internal/control/rollout/recordedstart_test.go
@@ -6,9 +6,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"yokeroute/internal/process"
+	"yokeroute/logic/rollout"
 )
 
 // unrecordedWait is for how long a command that must not run is given to run all the same.
@@ -78,3 +83,26 @@
 		t.Errorf("a program that does not exist: %v", err)
 	}
 }
+
+// TestStepEndsWithItsCommand guards against a step that fails, or lasts, because of a child that outlives its command
+// and holds its output: a gatherer that a deploy script starts, say.
+func TestStepEndsWithItsCommand(t *testing.T) {
+	p := keptPlan(t.TempDir())
+	p.Commands = map[rollout.Variant]StepCommand{
+		rollout.New: {Args: []string{"sh", "-c", "sleep 20 & echo $! > " + filepath.Join(p.Folder, "child")}, Timeout: time.Minute},
+	}
+	startedAt := time.Now()
+	err := commandStepper{p}.step(t.Context(), 0, rollout.New, fence{check: func() error { return nil }})
+	if took := time.Since(startedAt); err != nil || took > 10*time.Second {
+		t.Errorf("after %v: %v", took, err)
+	}
+	text, err := os.ReadFile(filepath.Join(p.Folder, "child"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pid, err := strconv.Atoi(strings.TrimSpace(string(text)))
+	if err != nil || process.StartTicks(pid) == "" {
+		t.Errorf("%v: the child %q has ended", err, text)
+	}
+	sendSignal(pid, syscall.SIGKILL)
+}
