Processes that do not end on SIGTERM: their goroutines go into the failure

Cause: "w3.1 has not ended" 20 s after SIGTERM (TestRecordIsLinearizable, known red) told nothing of the state of the process that hung. Change: the error of a termination that takes too long tells the process's state, the signals that it was sent and when, and its goroutines, for which it is ended by SIGQUIT; that of a fleet's end also which links were cut or disturbed.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -29,6 +29,13 @@
 	err          error // of its end
 	exitExpected bool  // its end was asked for
 	stopped      bool
+	signals      []sentSignal
+}
+
+// sentSignal is a signal that was sent to a process.
+type sentSignal struct {
+	signal syscall.Signal
+	at     time.Time
 }
 
 // spawner starts all processes on one thread that lives as long as this process: the kernel kills a child whose
@@ -138,6 +145,7 @@
 // Signal sends a signal. An exit that follows from it is expected.
 func (p *Process) Signal(sig syscall.Signal) error {
 	p.mu.Lock()
+	p.signals = append(p.signals, sentSignal{sig, time.Now()})
 	switch sig {
 	case syscall.SIGKILL, syscall.SIGTERM, syscall.SIGINT:
 		p.exitExpected = true
@@ -189,7 +197,8 @@
 	}
 }
 
-// Terminate sends SIGTERM and waits for the process's end.
+// Terminate sends SIGTERM and waits for the process's end. Where it does not end in time, the error describes it, with
+// its goroutines, for which it is ended by SIGQUIT.
 func (p *Process) Terminate(ctx context.Context) error {
 	if p.Stopped() {
 		if err := p.Continue(); err != nil && !errors.Is(err, os.ErrProcessDone) {
@@ -199,7 +208,39 @@
 	if err := p.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return err
 	}
-	return p.Wait(ctx)
+	if err := p.Wait(ctx); err != nil {
+		return fmt.Errorf("%w; %s", err, p.describeHang())
+	}
+	return nil
+}
+
+// Bounds of the description of a process that does not end.
+const (
+	stackDumpTimeout = 5 * time.Second
+	maxStackDump     = 64 << 10
+)
+
+// describeHang returns what tells why a process does not end: its state, the signals that it was sent and its
+// goroutines. It ends the process by SIGQUIT.
+func (p *Process) describeHang() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "state %q, signals", State(p.PID()))
+	p.mu.Lock()
+	for _, s := range p.signals {
+		fmt.Fprintf(&text, " %s (%.2f s ago)", unix.SignalName(s.signal), time.Since(s.at).Seconds())
+	}
+	logged := p.log.Len()
+	p.mu.Unlock()
+	if err := p.Signal(syscall.SIGQUIT); err != nil {
+		return text.String() + "; it has ended since"
+	}
+	select {
+	case <-p.exited:
+	case <-time.After(stackDumpTimeout):
+		text.WriteString("; SIGQUIT does not end it either")
+	}
+	dump := p.Log()[logged:]
+	return text.String() + "; " + dump[:min(len(dump), maxStackDump)]
 }
 
 // Usage returns what it has used, the zero Usage once it has ended.
--- a/internal/testbed/processtest/fleet.go
+++ b/internal/testbed/processtest/fleet.go
@@ -404,11 +404,21 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	if err := p.Terminate(ctx); err != nil {
-		f.fault(err)
+		f.fault(fmt.Errorf("%w; disturbed links: %q", err, f.disturbedLinks()))
 		p.Kill()
 	}
 }
 
+// disturbedLinks returns the names of the links that are cut or do something to what passes.
+func (f *Fleet) disturbedLinks() (names []string) {
+	for _, link := range f.Links("*") {
+		if weather, gone, _ := link.state(); gone || weather != (Weather{}) {
+			names = append(names, link.Name())
+		}
+	}
+	return names
+}
+
 // close ends a gatherer.
 func (g *Gatherer) close() {
 	g.fleet.end(g.Process())
