Record: news of endpoints are written before they take effect

Cause: the parts were told of an endpoint list in the order pool, decisions, record. A call could be decided and recorded before the news that allowed it; the other way round, calls after the news of a drain could stand before it, and were not judged.

--- a/internal/gatherer/service/fixture_test.go
+++ b/internal/gatherer/service/fixture_test.go
@@ -38,6 +38,28 @@
 func startGatherer(
 	t *testing.T, own *operator.File, machine func(i int) experiment.Machine, turned func(text string) string,
 ) (fleet *experiment.Fleet, address string, end func()) {
+	t.Helper()
+	fleet, s, l := assembleGatherer(t, own, machine, turned)
+	return fleet, l.Addr().String(), runGatherer(t, s, l)
+}
+
+// runGatherer runs a gatherer; end ends it as a planned restart does.
+func runGatherer(t *testing.T, s *Service, l net.Listener) (end func()) {
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx, l) }()
+	return func() {
+		stop()
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// assembleGatherer assembles a gatherer before a fleet of six, which does not run yet.
+func assembleGatherer(
+	t *testing.T, own *operator.File, machine func(i int) experiment.Machine, turned func(text string) string,
+) (fleet *experiment.Fleet, s *Service, l net.Listener) {
 	t.Helper()
 	var machines []experiment.Machine
 	for i := range 6 {
@@ -49,7 +71,7 @@
 	}
 	t.Cleanup(fleet.Close)
 	reportSchedulingOnFailure(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err = net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,19 +82,11 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s, err := New(c, own, log)
+	s, err = New(c, own, log)
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, stop := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- s.Run(ctx, l) }()
-	return fleet, l.Addr().String(), func() {
-		stop()
-		if err := <-done; err != nil {
-			t.Fatal(err)
-		}
-	}
+	return fleet, s, l
 }
 
 // reportSchedulingOnFailure has a test that fails tell whether its process got too little time: the gatherer, the
--- a/internal/gatherer/service/record_test.go
+++ b/internal/gatherer/service/record_test.go
@@ -9,8 +9,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"yokeroute/gather"
 	"yokeroute/internal/config/operator"
 	"yokeroute/internal/config/platform"
+	"yokeroute/internal/gatherer/shardcall"
 	"yokeroute/internal/rulecheck"
 	"yokeroute/internal/testbed/experiment"
 )
@@ -51,6 +53,41 @@
 	}
 }
 
+// TestCallsAreNotRecordedBeforeTheNewsThatAllowsThem guards against a record that accuses a gatherer of calls to a
+// draining server, as it holds them before the news that the server is in service again.
+func TestCallsAreNotRecordedBeforeTheNewsThatAllowsThem(t *testing.T) {
+	const pause = 400 * time.Millisecond // more than the grace of a drain
+	file := filepath.Join(t.TempDir(), "day.trace")
+	own := &operator.File{Record: file, RecordMaxBytes: 64 << 20, BackgroundShare: 0.05}
+	fleet, s, l := assembleGatherer(t, own, plainMachine, func(text string) string { return text })
+	for i, update := range s.hooks.endpoints {
+		s.hooks.endpoints[i] = func(event gather.EndpointList, addresses []shardcall.Address) {
+			update(event, addresses)
+			if !event.Full && event.Endpoints[0].State == gather.Running {
+				time.Sleep(pause)
+			}
+		}
+	}
+	end := runGatherer(t, s, l)
+	load := experiment.Load{Origin: "any", Class: "any", Address: l.Addr().String(), Rate: 120, ShardRequests: 4, Shards: 12,
+		Deadline: 500 * time.Millisecond}
+	played := make(chan *experiment.Outcome, 1)
+	go func() { played <- experiment.Play(t.Context(), load, 4*time.Second, 300*time.Millisecond) }()
+	time.Sleep(pause)
+	fleet.SetPhase("terminating", "m2")
+	time.Sleep(2 * pause)
+	before := fleet.Servers["m2"].Counts().Requests
+	fleet.SetPhase("in_service", "m2")
+	<-played
+	end()
+	if fleet.Servers["m2"].Counts().Requests == before {
+		t.Error("nothing was sent to the server that is in service again")
+	}
+	if r := checkFile(t, file); !r.Passed() {
+		t.Errorf("%v %s", r.Violations, r.Incomplete)
+	}
+}
+
 // TestRecordSaysThatItsBoundIsReached: a record that reaches its bound says so and does not pass; one that cannot be
 // written is told before anything is served.
 func TestRecordSaysThatItsBoundIsReached(t *testing.T) {
--- a/internal/gatherer/service/service.go
+++ b/internal/gatherer/service/service.go
@@ -62,11 +62,12 @@
 	if err != nil {
 		return nil, err
 	}
-	// Of the endpoint hooks the pool's comes before the picker's, so that no server is chosen whose address is not
-	// known; those of the policy come before, those of traces behind the picker's.
+	// Of the endpoint hooks the record's comes first, so that it holds no call before the news that allow it; the
+	// pool's comes before the picker's, so that no server is chosen whose address is not known; those of the policy
+	// come before, those of traces behind the picker's.
 	for _, add := range []func() error{
-		a.addNameJournal, a.addShardServers, a.addSegments, a.addTwoPass, a.addPolicy, a.addPicker, a.addPlans,
-		a.addReports, a.addHandover, a.addTraces, a.addRecord, a.addDiscovery, a.addFrontend,
+		a.addNameJournal, a.addRecord, a.addShardServers, a.addSegments, a.addTwoPass, a.addPolicy, a.addPicker,
+		a.addPlans, a.addReports, a.addHandover, a.addTraces, a.addDiscovery, a.addFrontend,
 	} {
 		if err := add(); err != nil {
 			return nil, errors.Join(err, a.closeParts())
