Process rig: faults that overlap on one target no longer strike each other

Cause: the end of a fault acted on whatever ran by then. Two SIGTERM 50 ms apart: the end of the second waited for the process that the first one's end had started, which nobody told to end. Two kills of a server at once: it was started twice. A stop that ended let a process go on that another one still stopped. Change: a fault on a gatherer remembers the process that it struck, one that has ended is started again once, and what faults of one kind do to a process, link or server is undone by the end of the last one.

--- /dev/null
+++ b/internal/testbed/processtest/faults_test.go
@@ -0,0 +1,49 @@
+package processtest
+
+import (
+	"testing"
+	"time"
+)
+
+// TestFaultsOverlapOnOneTarget guards against a rig that falls over its own faults: a second SIGTERM whose end waits for
+// the process that the first one's end has started, a server that is started twice, and a process that one fault lets
+// go on while another one still stops it.
+func TestFaultsOverlapOnOneTarget(t *testing.T) {
+	t.Parallel()
+	ctx := minute(t)
+	f := start(t, ctx, small+`
+fault term on g4 at 300ms for 100ms
+fault term on g4 at 350ms for 2s
+fault kill on g3 at 400ms for 200ms
+fault term on g3 at 450ms for 1s
+fault kill on g3 at 500ms for 1500ms
+fault port-taken on g3 at 2.2s for 300ms
+fault kill on g3 at 2.3s for 100ms
+fault stop on g2 at 300ms for 1500ms
+fault stop on g2 at 500ms for 200ms
+fault server-kill on s1 at 300ms for 500ms
+fault server-kill on s1 at 500ms for 800ms
+fault server-kill on s1 at 700ms for 200ms
+fault hang on s2 at 300ms for 1s
+fault hang on s2 at 500ms for 200ms
+fault cut on g1:s3 at 300ms for 1s
+fault cut on g1:s3 at 500ms for 200ms
+`, Terms{})
+	stopped := make(chan bool, 1)
+	go func() {
+		time.Sleep(1200 * time.Millisecond)
+		stopped <- f.Gatherer("g2").Process().Stopped()
+	}()
+	if err := f.Play(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if !<-stopped {
+		t.Error("g2 went on while a fault still stopped it")
+	}
+	for _, g := range f.Gatherers {
+		if !g.Serves() {
+			t.Errorf("%s does not serve after all faults", g.Name)
+		}
+	}
+	end(t, f)
+}
--- a/internal/testbed/processtest/fleet.go
+++ b/internal/testbed/processtest/fleet.go
@@ -60,6 +60,7 @@
 	order  []string
 	truth  rulecheck.GroundTruth
 	faults []error
+	active activeFaults
 	said   []string
 	began  time.Time
 }
@@ -81,6 +82,8 @@
 	started   int
 	traces    []*tape
 	processes []*process.Process
+	struck    map[*Fault]*process.Process // by faults; the process of each
+	restarts  sync.Mutex                  // held while a fault starts a process
 	agent     net.Listener
 	taken     net.Listener // something else on its port
 	backup    string       // its state folder as it was at its process' own start
