--- a/cmd/yokeroute-testbed/main.go
+++ b/cmd/yokeroute-testbed/main.go
@@ -63,6 +63,7 @@
 		rolloutsCommand(),
 		policiesCommand(),
 		fleetCommand(),
+		soakCommand(),
 		scaleCommand(),
 	)
 	return root
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -161,6 +162,13 @@
 	return p.cmd.Process.Signal(sig)
 }
 
+// Sent reports whether it was sent a signal.
+func (p *Process) Sent(sig syscall.Signal) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.signals, func(s sentSignal) bool { return s.signal == sig })
+}
+
 // Stopped reports whether it was stopped by SIGSTOP and not let go on.
 func (p *Process) Stopped() bool {
 	p.mu.Lock()
@@ -209,7 +217,7 @@
 		return err
 	}
 	if err := p.Wait(ctx); err != nil {
-		return fmt.Errorf("%w; %s", err, p.describeHang())
+		return fmt.Errorf("%w; %s", err, p.DescribeHang())
 	}
 	return nil
 }
@@ -220,9 +228,9 @@
 	maxStackDump     = 64 << 10
 )
 
-// describeHang returns what tells why a process does not end: its state, the signals that it was sent and its
+// DescribeHang returns what tells why a process does not end: its state, the signals that it was sent and its
 // goroutines. It ends the process by SIGQUIT.
-func (p *Process) describeHang() string {
+func (p *Process) DescribeHang() string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "state %q, signals", State(p.PID()))
 	p.mu.Lock()
--- a/internal/testbed/processtest/faults.go
+++ b/internal/testbed/processtest/faults.go
@@ -191,6 +191,10 @@
 		p.Kill()
 	case "term":
 		return p.Terminate(ctx)
+	case "restart":
+		return g.plannedRestart(p)
+	case "hangup":
+		return g.hangup(p)
 	case "stop":
 		if err := p.Stop(ctx); !errors.Is(err, os.ErrProcessDone) {
 			return err
@@ -213,7 +217,7 @@
 	}
 	last := g.fleet.active.end(ft.Kind, p.Name)
 	switch ft.Kind {
-	case "kill", "term":
+	case "kill", "term", "restart":
 		if err := p.Wait(ctx); err != nil {
 			return err
 		}
--- a/internal/testbed/processtest/fleet.go
+++ b/internal/testbed/processtest/fleet.go
@@ -21,6 +21,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"yokeroute/internal/gatherer/discovery"
@@ -41,6 +42,10 @@
 	Report   bool   // and tell of themselves
 	Policy   PolicyConfig
 	MemoryMB float64 // what the platform says that each may use, 192 unless told
+
+	// DirectFront has the front connect to gatherers itself: a link accepts a connection that a gatherer which does not
+	// run would refuse, and resets it.
+	DirectFront bool
 }
 
 // Fleet is a running fleet.
@@ -61,8 +66,10 @@
 	truth  rulecheck.GroundTruth
 	faults []error
 	active activeFaults
-	said   []string
-	began  time.Time
+
+	longestStart time.Duration // of a gatherer's process that nothing held up
+	said         []string
+	began        time.Time
 }
 
 // Gatherer is one gatherer of a fleet, through all of its processes.
@@ -275,6 +282,44 @@
 	f.faults = append(f.faults, err)
 }
 
+// noteStart notes how long a gatherer's process took until it was ready.
+func (f *Fleet) noteStart(took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.longestStart = max(f.longestStart, took)
+}
+
+// LongestStart returns how long a gatherer's process took until it was ready, at most.
+func (f *Fleet) LongestStart() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.longestStart
+}
+
+// SaveLogs writes what each process has written to a file of its own.
+func (f *Fleet) SaveLogs(folder string) error {
+	var errs []error
+	for _, p := range f.allProcesses() {
+		errs = append(errs, os.WriteFile(filepath.Join(folder, p.Name+".log"), []byte(p.Log()), 0o644))
+	}
+	return errors.Join(errs...)
+}
+
+// allProcesses are the processes of gatherers and policy servers, those that have ended included.
+func (f *Fleet) allProcesses() (processes []*process.Process) {
+	for _, g := range f.Gatherers {
+		g.mu.Lock()
+		processes = append(processes, g.processes...)
+		g.mu.Unlock()
+	}
+	for _, w := range f.PolicyServers {
+		w.mu.Lock()
+		processes = append(processes, w.processes...)
+		w.mu.Unlock()
+	}
+	return processes
+}
+
 // Say notes a line for who looks on.
 func (f *Fleet) Say(format string, args ...any) {
 	f.mu.Lock()
@@ -295,18 +340,7 @@
 	f.mu.Lock()
 	all := slices.Clone(f.faults)
 	f.mu.Unlock()
-	var processes []*process.Process
-	for _, g := range f.Gatherers {
-		g.mu.Lock()
-		processes = append(processes, g.processes...)
-		g.mu.Unlock()
-	}
-	for _, w := range f.PolicyServers {
-		w.mu.Lock()
-		processes = append(processes, w.processes...)
-		w.mu.Unlock()
-	}
-	for _, p := range processes {
+	for _, p := range f.allProcesses() {
 		if err := p.Failure(); err != nil {
 			all = append(all, err)
 		}
@@ -530,7 +564,11 @@
 func (g *Gatherer) Ready(ctx context.Context, p *process.Process) error {
 	ctx, cancel := context.WithTimeout(ctx, 120*time.Second)
 	defer cancel()
+	startedAt := time.Now()
 	err := process.WaitUntil(ctx, g.Name+" is ready", func() bool { return !p.Alive() || g.answers() })
+	if err == nil && p.Alive() && !p.Sent(syscall.SIGSTOP) {
+		g.fleet.noteStart(time.Since(startedAt))
+	}
 	if err == nil && !p.Alive() && !p.ExitExpected() { // another fault may have ended it meanwhile
 		err = fmt.Errorf("%s ended at its start: %v: %.2000s", p.Name, p.Err(), p.Log())
 	}
--- a/internal/testbed/processtest/front.go
+++ b/internal/testbed/processtest/front.go
@@ -140,6 +140,9 @@
 	fr.ctx, fr.stop = context.WithCancel(context.Background())
 	for _, g := range f.Gatherers {
 		base := f.Link("front:" + g.Name).Address()
+		if f.terms.DirectFront {
+			base = g.Address
+		}
 		fr.places = append(fr.places, &place{g: g, base: "http://" + base, in: true, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Second, DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}}})
 	}
 	for _, p := range fr.places {
@@ -359,6 +362,11 @@
 	resp, err := p.client.Do(req)
 	if err != nil {
 		t.Took, t.Ending = time.Since(t.Began), Lost
+		defer func() {
+			if t.Ending == Lost {
+				fr.f.Say("lost at %s after %v: %s: %v", p.g.Name, t.Took.Round(time.Millisecond), t.Name, err)
+			}
+		}()
 		var op *net.OpError
 		// Refused before anything was sent. A reset may have come after the request was read.
 		if errors.As(err, &op) && op.Op == "dial" || errors.Is(err, syscall.ECONNREFUSED) {
@@ -377,6 +385,7 @@
 	switch {
 	case err != nil:
 		t.Ending = Lost
+		fr.f.Say("lost at %s after %v, in its answer: %s: %v", p.g.Name, t.Took.Round(time.Millisecond), t.Name, err)
 	case resp.StatusCode == http.StatusOK && json.Unmarshal(text, &answer) == nil:
 		t.Ending = Satisfied
 		t.Value = o.ix.Gain
--- /dev/null
+++ b/internal/testbed/processtest/restarts.go
@@ -0,0 +1,66 @@
+package processtest
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"yokeroute/internal/process"
+)
+
+const (
+	// A planned restart kills a process no sooner than the longest deadline, which counts as maxKillDeadline at
+	// most, and killMargin after SIGTERM.
+	maxKillDeadline = 3 * time.Second
+	killMargin      = 700 * time.Millisecond
+)
+
+// killDelay is the time from SIGTERM to SIGKILL at a planned restart.
+func (s *Scenario) killDelay() time.Duration {
+	longest := time.Duration(0)
+	for i := range s.Indexes {
+		longest = max(longest, time.Duration(s.Indexes[i].Hard*float64(time.Millisecond)))
+	}
+	return min(longest, maxKillDeadline) + killMargin
+}
+
+// plannedRestart ends a process as the platform does at a planned restart. One that has to be killed although nothing
+// held it up, or that ends with another status than 0, has a fault.
+func (g *Gatherer) plannedRestart(p *process.Process) error {
+	if p.Sent(syscall.SIGTERM) {
+		return ignoreEnded(p, p.Signal(syscall.SIGTERM)) // a second one is to change nothing
+	}
+	delay := g.fleet.Scenario.killDelay()
+	if err := ignoreEnded(p, p.Signal(syscall.SIGTERM)); err != nil {
+		return err
+	}
+	select {
+	case <-p.Exited():
+	case <-time.After(delay):
+		heldUp := p.Sent(syscall.SIGSTOP)
+		description := ""
+		if !heldUp {
+			description = p.DescribeHang()
+		}
+		p.Kill()
+		if !heldUp {
+			return fmt.Errorf("%s has not ended %v after SIGTERM; %s", p.Name, delay, description)
+		}
+		return nil
+	}
+	if err := p.Err(); err != nil && !p.Sent(syscall.SIGKILL) {
+		return fmt.Errorf("%s ended after SIGTERM with %w: %.2000s", p.Name, err, p.Log())
+	}
+	return nil
+}
+
+// hangup has a process read its files again, once it serves.
+func (g *Gatherer) hangup(p *process.Process) error {
+	if !g.answers() {
+		return nil
+	}
+	if err := g.WriteFiles(); err != nil {
+		return err
+	}
+	return ignoreEnded(p, p.Signal(syscall.SIGHUP))
+}
--- a/internal/testbed/processtest/scenario.go
+++ b/internal/testbed/processtest/scenario.go
@@ -57,6 +57,8 @@
 	{"kill", "gatherers", "state", "SIGKILL; started again when it is over, with its state folder kept, as it was at the process' own start (stale), with its newest file torn, or gone"},
 	{"stop", "gatherers", "", "SIGSTOP, and SIGCONT when it is over"},
 	{"term", "gatherers", "state", "SIGTERM, as in a planned restart; started again when it is over and the process has ended"},
+	{"restart", "gatherers", "state", "SIGTERM, and SIGKILL at the earliest that the platform's pages allow; started again when it is over and the process has ended"},
+	{"hangup", "gatherers", "", "its files are written anew, and SIGHUP; one that is not ready yet gets none"},
 	{"refuse-writes", "gatherers", "", "no file of the process may grow any more: its writes fail"},
 	{"port-taken", "gatherers", "", "SIGKILL, and something else listens on its port when it is started again, until it is over"},
 	{"cut", "links", "", "connections are reset and new ones refused"},
--- /dev/null
+++ b/internal/testbed/soak/run.go
@@ -0,0 +1,135 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"yokeroute/internal/testbed/processtest"
+)
+
+const (
+	dayTimeout   = 3 * time.Minute
+	maxStartTime = 10 * time.Second // until a gatherer is ready, by the platform's pages
+	recoveryTime = 6 * time.Second  // after the last fault, until the fleet has to serve all: servers warm up for 5 s
+	checkTime    = 2 * time.Second  // for which it has to
+	servedShare  = 0.95             // of the operations then; the others may be rejected
+)
+
+// Result is what a day came to.
+type Result struct {
+	Day        *Day
+	Operations int
+	Lost       int // tries that the platform would count as lost
+	Err        error
+	Took       time.Duration
+	Folder     string // what is kept of a day that failed
+}
+
+// Run plays the day of a seed with a gatherer's program. What a day that fails leaves is kept in a folder below out.
+func Run(ctx context.Context, program, out string, seed uint64) *Result {
+	startedAt := time.Now()
+	r := &Result{Folder: filepath.Join(out, fmt.Sprint("seed-", seed))}
+	defer func() { r.Took = time.Since(startedAt) }()
+	if r.Day, r.Err = DrawDay(seed); r.Err != nil {
+		return r
+	}
+	if r.Err = errors.Join(os.RemoveAll(r.Folder), os.MkdirAll(r.Folder, 0o755)); r.Err != nil {
+		return r
+	}
+	ctx, cancel := context.WithTimeout(ctx, dayTimeout)
+	defer cancel()
+	terms := processtest.Terms{Binary: program, Folder: r.Folder, State: true, Report: true,
+		DirectFront: r.Day.Kind == Restarts}
+	if r.Day.Kind == Policies {
+		terms.Policy = policyConfig
+	}
+	fleet, err := processtest.StartFleet(ctx, r.Day.Scenario, terms)
+	if err != nil {
+		r.Err = err
+		return r
+	}
+	r.Err = r.play(ctx, fleet)
+	result, err := fleet.Finish()
+	r.Err = errors.Join(r.Err, err, r.judge(fleet, result))
+	if r.Err == nil {
+		r.Err = os.RemoveAll(r.Folder)
+		return r
+	}
+	report := fmt.Sprintf("%s\n%v\n", r.Day, r.Err)
+	r.Err = errors.Join(r.Err, fleet.SaveLogs(r.Folder), result.Save(r.Folder),
+		os.WriteFile(filepath.Join(r.Folder, "scenario.conf"), []byte(r.Day.Scenario.Text), 0o644),
+		os.WriteFile(filepath.Join(r.Folder, "problems.txt"), []byte(report), 0o644))
+	return r
+}
+
+// play plays the day, and checks that the fleet serves all again after it.
+func (r *Result) play(ctx context.Context, f *processtest.Fleet) error {
+	var disturbers sync.WaitGroup
+	var policyErr error
+	disturbing, stop := context.WithCancel(ctx)
+	defer stop()
+	if r.Day.Crowd {
+		g := f.Gatherers[r.Day.Seed%uint64(len(f.Gatherers))]
+		disturbers.Go(func() { crowd(disturbing, g) })
+	}
+	if r.Day.Kind == Policies {
+		disturbers.Go(func() { policyErr = disturbPolicyServers(disturbing, f, r.Day.Seed) })
+		disturbers.Go(func() { proposeChanges(disturbing, f) })
+	}
+	_ = f.Play(ctx) // its faults are part of the result
+	stop()
+	disturbers.Wait()
+	r.Operations = f.Front.Total().Operations
+	r.Lost = f.Front.Total().Endings[processtest.Lost]
+	if err := errors.Join(ctx.Err(), policyErr); err != nil {
+		return err
+	}
+	if r.Day.Kind == Policies {
+		if err := awaitChange(ctx, f); err != nil {
+			return err
+		}
+	}
+	wait(ctx, recoveryTime)
+	return checkRecovery(ctx, f)
+}
+
+// checkRecovery plays a load without faults.
+func checkRecovery(ctx context.Context, f *processtest.Fleet) error {
+	before := f.Front.Total()
+	f.Front.Play(ctx, checkTime)
+	after := f.Front.Total()
+	count := func(e processtest.Ending) int { return after.Endings[e] - before.Endings[e] }
+	bad := count(processtest.Lost) + count(processtest.Failed) + count(processtest.Refused)
+	operations := after.Operations - before.Operations
+	served := count(processtest.Satisfied) + count(processtest.Partial)
+	if bad > 0 || float64(served) < servedShare*float64(operations) {
+		return fmt.Errorf("%v after the last fault %d of %d operations are served, %d rejected, %d failed, %d lost, "+
+			"%d unreached", recoveryTime, served, operations, count(processtest.Nacked), count(processtest.Failed),
+			count(processtest.Lost), count(processtest.Refused))
+	}
+	return nil
+}
+
+// judge checks what a day has left. A planned restart excuses nothing that is lost.
+func (r *Result) judge(f *processtest.Fleet, result *processtest.Result) error {
+	var errs []error
+	if result.Faults != "" {
+		errs = append(errs, errors.New(result.Faults))
+	}
+	if j := result.Rules; j != nil && !j.Passed() {
+		errs = append(errs, fmt.Errorf("rules: %v; %s", j.Violations, j.Incomplete))
+	}
+	if took := f.LongestStart(); took > maxStartTime {
+		errs = append(errs, fmt.Errorf("a gatherer was ready %.1f s after its start, %v are allowed", took.Seconds(),
+			maxStartTime))
+	}
+	if r.Day.Kind == Restarts && !r.Day.Crowd && r.Lost > 0 {
+		errs = append(errs, fmt.Errorf("%d tries lost on a day of planned restarts", r.Lost))
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/testbed/soak/soak_test.go
@@ -0,0 +1,64 @@
+package soak
+
+import (
+	"os"
+	"testing"
+
+	"yokeroute/internal/parallel"
+	"yokeroute/internal/testbed/processtest"
+)
+
+func TestMain(m *testing.M) {
+	status := m.Run()
+	processtest.Unbuild()
+	os.Exit(status)
+}
+
+// Seeds of the days in CI: each kind of day is among them, and one with a crowd.
+const (
+	firstSeed = 1
+	seeds     = 4
+	workers   = 2
+)
+
+// TestSoak plays a few days, drawn by fixed seeds, under the race detector. `yokeroute-testbed soak` plays more.
+func TestSoak(t *testing.T) {
+	program, err := processtest.Build("yokeroute")
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := t.TempDir()
+	results := parallel.Map(seeds, workers, func(i int) *Result {
+		return Run(t.Context(), program, out, firstSeed+uint64(i))
+	})
+	for _, r := range results {
+		if r.Err != nil {
+			t.Errorf("%v: %.8000v", r.Day, r.Err)
+		}
+		t.Logf("%v: %d operations, %d tries lost, %v", r.Day, r.Operations, r.Lost, r.Took)
+	}
+}
+
+// TestDaysAreDrawnBySeed wants a seed to draw the same day each time, and the seeds of a soak all kinds of days.
+func TestDaysAreDrawnBySeed(t *testing.T) {
+	drawn := map[Kind]int{}
+	crowds := 0
+	const many = 60
+	for seed := range uint64(many) {
+		day, err := DrawDay(seed + 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := DrawDay(seed + 1)
+		if err != nil || again.Kind != day.Kind || again.Crowd != day.Crowd || again.Scenario.Text != day.Scenario.Text {
+			t.Errorf("%v is drawn as %v, %v", day, again, err)
+		}
+		drawn[day.Kind]++
+		if day.Crowd {
+			crowds++
+		}
+	}
+	if len(drawn) != len(kinds) || crowds < many/6 || crowds > many/2 {
+		t.Errorf("%v, %d crowds", drawn, crowds)
+	}
+}
