--- a/cmd/yokeroute-testbed/main.go
+++ b/cmd/yokeroute-testbed/main.go
@@ -64,6 +64,7 @@
 		policiesCommand(),
 		fleetCommand(),
 		soakCommand(),
+		orderCommand(),
 		scaleCommand(),
 	)
 	return root
--- a/cmd/yokeroute-testbed/soak.go
+++ b/cmd/yokeroute-testbed/soak.go
@@ -35,7 +35,7 @@
 		Args:    cobra.NoArgs,
 		Example: "  yokeroute-testbed soak --first 1 --seeds 50 --out soak\n  yokeroute-testbed soak --first 17 --seeds 1 --race",
 		Long: "Each seed draws a kind of day (faults of all kinds, planned restarts with signals in series, policy servers " +
-			"with changes\nunder way; some with a crowd of idle clients) and its faults. Checked are the six rules on " +
+			"with changes\nunder way, rollouts; some with a crowd of idle clients) and its faults. Checked are the six rules on " +
 			"the joined traces, the\ntimes of starts and ends, and that the fleet serves all again after the last " +
 			"fault. Of a day that fails, the scenario\nwith its faults, all traces, logs and results are kept.\n" +
 			"Status 0: all days passed. 1: one did not. 2: nothing was played.",
@@ -52,6 +52,25 @@
 	return cmd
 }
 
+// orderCommandName is the command that the steps of a soak's rollouts run.
+const orderCommandName = "order-step"
+
+func orderCommand() *cobra.Command {
+	const arguments = 4
+	return &cobra.Command{
+		Use:    orderCommandName + " URL GATHERER VARIANT FENCE",
+		Short:  "order a step of a soak's rollout",
+		Args:   cobra.ExactArgs(arguments),
+		Hidden: true,
+		RunE: func(_ *cobra.Command, args []string) error {
+			if processtest.Order(args[0], args[1], args[2], args[3]) != exitOK {
+				return errNegative
+			}
+			return nil
+		},
+	}
+}
+
 func (o *soakOptions) run(cmd *cobra.Command) error {
 	if o.seeds < 1 || o.workers < 1 {
 		return fmt.Errorf("--seeds %d --workers %d: at least 1 of each", o.seeds, o.workers)
@@ -71,13 +90,18 @@
 		}
 		defer processtest.Unbuild()
 	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	days := soak.Options{Program: o.program, Folder: o.out, OrderCommand: []string{self, orderCommandName}}
 	var printing sync.Mutex
 	failed := 0
 	parallel.Map(o.seeds, o.workers, func(i int) struct{} {
 		if cmd.Context().Err() != nil {
 			return struct{}{}
 		}
-		r := soak.Run(cmd.Context(), o.program, o.out, o.first+uint64(i))
+		r := soak.Run(cmd.Context(), days, o.first+uint64(i))
 		printing.Lock()
 		defer printing.Unlock()
 		if r.Err != nil {
--- a/internal/testbed/soak/days.go
+++ b/internal/testbed/soak/days.go
@@ -19,9 +19,10 @@
 	Faults   Kind = "faults"   // faults of all kinds
 	Restarts Kind = "restarts" // planned restarts and other signals in series, with faults of servers and discovery
 	Policies Kind = "policies" // policy servers beside the gatherers, with faults of both and changes under way
+	Rollouts Kind = "rollouts" // a rollout whose controller is killed and stopped, with faults of servers and discovery
 )
 
-var kinds = []Kind{Faults, Restarts, Policies}
+var kinds = []Kind{Faults, Restarts, Policies, Rollouts}
 
 // crowdOneIn is one in how many days has a crowd of idle clients.
 const crowdOneIn = 3
@@ -64,6 +65,7 @@
 	Restarts: "faults 6 of restart from 500ms to 7s least 100ms most 300ms\n" +
 		"faults 5 of hangup from 500ms to 7s least 100ms most 300ms\n" +
 		"faults 4 of hang drain slow discovery-silent " + spanText,
+	Rollouts: "faults 4 of hang drain slow discovery-silent " + spanText,
 	Policies: "faults 8 of term kill stop drain hang slow restart hangup " + spanText,
 }
 
--- /dev/null
+++ b/internal/testbed/soak/rollouts.go
@@ -0,0 +1,202 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"yokeroute/internal/control/rollout"
+	"yokeroute/internal/pcg"
+	"yokeroute/internal/process"
+	"yokeroute/internal/testbed/processtest"
+	logic "yokeroute/logic/rollout"
+)
+
+const (
+	maxControllerFaults = 6
+	minControllerRun    = 50 * time.Millisecond // until it is killed or stopped
+	maxControllerRun    = 2 * time.Second
+	controllerStopTime  = 300 * time.Millisecond
+	rolloutTimeout      = 100 * time.Second
+	stepTimeout         = 30 * time.Second
+	rolloutName         = "soak-rollout"
+	newOperatorText     = "trace keep 50\n" // what tells the new operator's file from the old one
+)
+
+// rolloutStages changes one gatherer, some and all. No class is judged: faults of servers would stop it.
+const rolloutStages = `old operator "{name}-old.conf"
+new operator "{name}-new.conf"
+stage one count 1 least 500ms
+stage some share 34% least 500ms
+stage all share 100% least 500ms
+out 2 zone 1
+watch baseline 1s fresh 300ms settle 60s
+limit 90s then back rough 80s
+harm 20% fresh 90% cost 100%
+evidence 10 judged 100%
+seed 3
+`
+
+// rolloutDay is a rollout over a fleet whose controller is killed and stopped.
+type rolloutDay struct {
+	fleet   *processtest.Fleet
+	program string
+	order   []string // the command that orders a step, without its arguments
+	folder  string
+	random  *pcg.Source
+	plan    string // file
+
+	mu       sync.Mutex
+	underWay map[string]bool // gatherers with a step under way
+	steps    int
+	faults   []error
+}
+
+// runRollout carries a rollout out. Its controller is killed or stopped at drawn moments, and another one goes on.
+func runRollout(ctx context.Context, f *processtest.Fleet, o Options, folder string, seed uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, rolloutTimeout)
+	defer cancel()
+	d := &rolloutDay{fleet: f, program: o.Program, order: o.OrderCommand, folder: folder,
+		random: pcg.New(seed ^ 0x2011), underWay: map[string]bool{}}
+	steps, err := f.TakeSteps(d.step)
+	if err != nil {
+		return err
+	}
+	defer steps.Close()
+	if err := d.writePlan(steps.URL()); err != nil {
+		return err
+	}
+	disturbed := 0
+	for {
+		last := disturbed == maxControllerFaults
+		ended, err := d.runController(ctx, disturbed, last)
+		if err != nil {
+			return errors.Join(append(d.faults, err)...)
+		}
+		if ended {
+			break
+		}
+		disturbed++
+	}
+	if most := len(f.Gatherers) + disturbed; d.steps > most {
+		d.faults = append(d.faults, fmt.Errorf("%d steps of %d gatherers with %d faults of the controller", d.steps,
+			len(f.Gatherers), disturbed))
+	}
+	return errors.Join(d.faults...)
+}
+
+// step makes the step that a command orders.
+func (d *rolloutDay) step(ctx context.Context, order processtest.Step) error {
+	d.mu.Lock()
+	if d.underWay[order.Gatherer] {
+		d.faults = append(d.faults, fmt.Errorf("two steps of %s at once", order.Gatherer))
+		d.mu.Unlock()
+		return errors.New("another step is under way")
+	}
+	d.underWay[order.Gatherer] = true
+	d.steps++
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.underWay[order.Gatherer] = false
+	}()
+	// A step outlives the command that has ordered it.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stepTimeout)
+	defer cancel()
+	g := d.fleet.Gatherer(order.Gatherer)
+	if err := g.Process().Terminate(ctx); err != nil {
+		return err
+	}
+	g.Operator = ""
+	if order.To == logic.New.String() {
+		g.Operator = newOperatorText
+	}
+	return g.Start(ctx)
+}
+
+// writePlan writes the plan, and the operator's files by which the old and the new are told apart.
+func (d *rolloutDay) writePlan(stepsURL string) error {
+	var plan strings.Builder
+	fmt.Fprintf(&plan, "rollout %s in %s every 250ms\n", rolloutName, filepath.Join(d.folder, rolloutName))
+	for _, g := range d.fleet.Gatherers {
+		link, err := d.fleet.ReportLink(g)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(&plan, "gatherer %s zone %s report %s\n", g.Name, g.Hall, link.Address())
+		for side, text := range map[string]string{"new": newOperatorText, "old": ""} {
+			g.Operator = text
+			if err := g.WriteFiles(); err != nil {
+				return err
+			}
+			written, err := os.ReadFile(g.OperatorFile())
+			if err != nil {
+				return err
+			}
+			file := filepath.Join(d.folder, g.Name+"-"+side+".conf")
+			if err := os.WriteFile(file, written, 0o644); err != nil {
+				return err
+			}
+		}
+		g.Operator = ""
+		if err := g.WriteFiles(); err != nil {
+			return err
+		}
+	}
+	for _, target := range []logic.Variant{logic.New, logic.Old} {
+		fmt.Fprintf(&plan, "step-%s", target)
+		for _, arg := range d.order {
+			fmt.Fprintf(&plan, " %q", arg)
+		}
+		fmt.Fprintf(&plan, " %q \"{name}\" %s \"{fence}\" limit 60s\n", stepsURL, target)
+	}
+	plan.WriteString(rolloutStages)
+	d.plan = filepath.Join(d.folder, rolloutName+".conf")
+	return os.WriteFile(d.plan, []byte(plan.String()), 0o644)
+}
+
+// runController runs a controller, which is killed or stopped unless it is the last one. It reports whether the rollout
+// has been completed.
+func (d *rolloutDay) runController(ctx context.Context, number int, last bool) (ended bool, err error) {
+	p, err := process.Start(fmt.Sprint("controller.", number+1), d.program, []string{"rollout", "run", d.plan}, nil)
+	if err != nil {
+		return false, err
+	}
+	p.ExpectExit()
+	defer p.Kill()
+	if !last {
+		wait(ctx, minControllerRun+time.Duration(d.random.Float64()*float64(maxControllerRun-minControllerRun)))
+		if d.random.Uint32()%2 == 0 && p.Alive() {
+			d.fleet.Say("controller %d: kill", number+1)
+			p.Kill()
+			return false, nil
+		}
+		if err := p.Stop(ctx); err == nil {
+			d.fleet.Say("controller %d: stop for %v", number+1, controllerStopTime)
+			wait(ctx, controllerStopTime)
+			_ = p.Continue() // it may have ended
+		}
+		wait(ctx, controllerStopTime)
+		if p.Alive() {
+			p.Kill()
+			return false, nil
+		}
+	}
+	if err := p.Wait(ctx); err != nil {
+		return false, fmt.Errorf("%w: %.4000s", err, p.Log())
+	}
+	if p.Err() != nil {
+		return false, fmt.Errorf("%s ended with %w: %.4000s", p.Name, p.Err(), p.Log())
+	}
+	status, err := rollout.ReadStatus(filepath.Join(d.folder, rolloutName))
+	if err == nil && status.Phase != logic.Completed {
+		err = fmt.Errorf("the rollout has ended as %s: %s", status.Phase, status.Reason)
+	}
+	return true, err
+}
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -30,10 +30,17 @@
 	Folder     string // what is kept of a day that failed
 }
 
-// Run plays the day of a seed with a gatherer's program. What a day that fails leaves is kept in a folder below out.
-func Run(ctx context.Context, program, out string, seed uint64) *Result {
+// Options are what a soak is played with.
+type Options struct {
+	Program      string   // of the gatherers, policy servers and controllers
+	Folder       string   // for what days that fail leave
+	OrderCommand []string // ends in processtest.Order with the four arguments that follow it
+}
+
+// Run plays the day of a seed. What a day that fails leaves is kept in a folder of its own.
+func Run(ctx context.Context, o Options, seed uint64) *Result {
 	startedAt := time.Now()
-	r := &Result{Folder: filepath.Join(out, fmt.Sprint("seed-", seed))}
+	r := &Result{Folder: filepath.Join(o.Folder, fmt.Sprint("seed-", seed))}
 	defer func() { r.Took = time.Since(startedAt) }()
 	if r.Day, r.Err = DrawDay(seed); r.Err != nil {
 		return r
@@ -43,7 +50,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dayTimeout)
 	defer cancel()
-	terms := processtest.Terms{Binary: program, Folder: r.Folder, State: true, Report: true,
+	terms := processtest.Terms{Binary: o.Program, Folder: r.Folder, State: true, Report: true,
 		DirectFront: r.Day.Kind == Restarts}
 	if r.Day.Kind == Policies {
 		terms.Policy = policyConfig
@@ -53,7 +60,7 @@
 		r.Err = err
 		return r
 	}
-	r.Err = r.play(ctx, fleet)
+	r.Err = r.play(ctx, fleet, o)
 	result, err := fleet.Finish()
 	r.Err = errors.Join(r.Err, err, r.judge(fleet, result))
 	if r.Err == nil {
@@ -68,15 +75,18 @@
 }
 
 // play plays the day, and checks that the fleet serves all again after it.
-func (r *Result) play(ctx context.Context, f *processtest.Fleet) error {
+func (r *Result) play(ctx context.Context, f *processtest.Fleet, o Options) error {
 	var disturbers sync.WaitGroup
-	var policyErr error
+	var policyErr, rolloutErr error
 	disturbing, stop := context.WithCancel(ctx)
 	defer stop()
 	if r.Day.Crowd {
 		g := f.Gatherers[r.Day.Seed%uint64(len(f.Gatherers))]
 		disturbers.Go(func() { crowd(disturbing, g) })
 	}
+	if r.Day.Kind == Rollouts {
+		disturbers.Go(func() { rolloutErr = runRollout(ctx, f, o, r.Folder, r.Day.Seed) })
+	}
 	if r.Day.Kind == Policies {
 		disturbers.Go(func() { policyErr = disturbPolicyServers(disturbing, f, r.Day.Seed) })
 		disturbers.Go(func() { proposeChanges(disturbing, f) })
@@ -86,7 +96,7 @@
 	disturbers.Wait()
 	r.Operations = f.Front.Total().Operations
 	r.Lost = f.Front.Total().Endings[processtest.Lost]
-	if err := errors.Join(ctx.Err(), policyErr); err != nil {
+	if err := errors.Join(ctx.Err(), policyErr, rolloutErr); err != nil {
 		return err
 	}
 	if r.Day.Kind == Policies {
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -9,17 +9,18 @@
 )
 
 func TestMain(m *testing.M) {
+	if len(os.Args) == 6 && os.Args[1] == "order" { // this is the command of a rollout's step
+		os.Exit(processtest.Order(os.Args[2], os.Args[3], os.Args[4], os.Args[5]))
+	}
 	status := m.Run()
 	processtest.Unbuild()
 	os.Exit(status)
 }
 
-// Seeds of the days in CI: each kind of day is among them, and one with a crowd.
-const (
-	firstSeed = 1
-	seeds     = 4
-	workers   = 2
-)
+// seeds are those of the days in CI: one of each kind, and one with a crowd.
+var seeds = []uint64{1, 6, 7, 12}
+
+const workers = 2
 
 // TestSoak plays a few days, drawn by fixed seeds, under the race detector. `yokeroute-testbed soak` plays more.
 func TestSoak(t *testing.T) {
@@ -27,15 +28,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	out := t.TempDir()
-	results := parallel.Map(seeds, workers, func(i int) *Result {
-		return Run(t.Context(), program, out, firstSeed+uint64(i))
+	options := Options{Program: program, Folder: t.TempDir(), OrderCommand: []string{os.Args[0], "order"}}
+	played := map[Kind]bool{}
+	results := parallel.Map(len(seeds), workers, func(i int) *Result {
+		return Run(t.Context(), options, seeds[i])
 	})
 	for _, r := range results {
 		if r.Err != nil {
 			t.Errorf("%v: %.8000v", r.Day, r.Err)
 		}
 		t.Logf("%v: %d operations, %d tries lost, %v", r.Day, r.Operations, r.Lost, r.Took)
+		played[r.Day.Kind] = true
+	}
+	if len(played) != len(kinds) {
+		t.Errorf("only %v were played", played)
 	}
 }
 
