Process rig: the fleet's file is split by job

Cause: fleet.go had grown to 720 lines: the fleet, its gatherers, their state folders, traces and the verdict. No behaviour differs. Two findings of the linter in the soak are mended.

--- a/internal/testbed/processtest/fleet.go
+++ b/internal/testbed/processtest/fleet.go
@@ -9,19 +9,15 @@
 package processtest
 
 import (
-	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"yokeroute/internal/gatherer/discovery"
@@ -72,58 +68,6 @@
 	began        time.Time
 }
 
-// Gatherer is one gatherer of a fleet, through all of its processes.
-type Gatherer struct {
-	Name, Hall string
-	Number     int // from 1
-	Address    string
-	Reports    string // where it tells of itself, empty where it does not
-	Folder     string
-	Binary     string // for the next start
-	Operator   string // further text of the operator's file, for the next start or SIGHUP
-	Known      string // JSON of the list that the platform says it last held, for the next start
-
-	fleet     *Fleet
-	mu        sync.Mutex
-	process   *process.Process
-	started   int
-	traces    []*tape
-	processes []*process.Process
-	struck    map[*Fault]*process.Process // by faults; the process of each
-	restarts  sync.Mutex                  // held while a fault starts a process
-	agent     net.Listener
-	taken     net.Listener // something else on its port
-	backup    string       // its state folder as it was at its process' own start
-}
-
-// tape is the trace of one process. It comes over a pipe, so that the process writes it even where its files may not
-// grow, and what it has written before it is killed is there.
-type tape struct {
-	file  string
-	whole chan struct{} // closed once all of it is in the file
-}
-
-// record begins a tape; the pipe's end is for the process.
-func record(file string) (*tape, *os.File, error) {
-	to, err := os.Create(file)
-	if err != nil {
-		return nil, nil, err
-	}
-	from, end, err := os.Pipe()
-	if err != nil {
-		to.Close()
-		return nil, nil, err
-	}
-	t := &tape{file, make(chan struct{})}
-	go func() {
-		defer close(t.whole)
-		io.Copy(to, from)
-		to.Close()
-		from.Close()
-	}()
-	return t, end, nil
-}
-
 // addresses gives a /24 of loopback that no other fleet on this machine uses, and what holds it.
 func addresses() (base string, guard net.Listener, err error) {
 	for i := range 4000 {
@@ -272,54 +216,6 @@
 	return nil
 }
 
-// fault notes what went wrong with the rig or a process.
-func (f *Fleet) fault(err error) {
-	if err == nil {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.faults = append(f.faults, err)
-}
-
-// noteStart notes how long a gatherer's process took until it was ready.
-func (f *Fleet) noteStart(took time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.longestStart = max(f.longestStart, took)
-}
-
-// LongestStart returns how long a gatherer's process took until it was ready, at most.
-func (f *Fleet) LongestStart() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.longestStart
-}
-
-// SaveLogs writes what each process has written to a file of its own.
-func (f *Fleet) SaveLogs(folder string) error {
-	var errs []error
-	for _, p := range f.allProcesses() {
-		errs = append(errs, os.WriteFile(filepath.Join(folder, p.Name+".log"), []byte(p.Log()), 0o644))
-	}
-	return errors.Join(errs...)
-}
-
-// allProcesses are the processes of gatherers and policy servers, those that have ended included.
-func (f *Fleet) allProcesses() (processes []*process.Process) {
-	for _, g := range f.Gatherers {
-		g.mu.Lock()
-		processes = append(processes, g.processes...)
-		g.mu.Unlock()
-	}
-	for _, w := range f.PolicyServers {
-		w.mu.Lock()
-		processes = append(processes, w.processes...)
-		w.mu.Unlock()
-	}
-	return processes
-}
-
 // Say notes a line for who looks on.
 func (f *Fleet) Say(format string, args ...any) {
 	f.mu.Lock()
@@ -334,20 +230,6 @@
 	return slices.Clone(f.said)
 }
 
-// Faults are what went wrong that nobody asked for: races, panics, processes that ended by themselves, faults of the
-// rig.
-func (f *Fleet) Faults() error {
-	f.mu.Lock()
-	all := slices.Clone(f.faults)
-	f.mu.Unlock()
-	for _, p := range f.allProcesses() {
-		if err := p.Failure(); err != nil {
-			all = append(all, err)
-		}
-	}
-	return errors.Join(all...)
-}
-
 // Close ends all of it. Gatherers that serve are ended as in a planned restart, so that their traces are whole.
 func (f *Fleet) Close() {
 	if f.Front != nil {
@@ -373,55 +255,6 @@
 	}
 }
 
-// Check joins the traces of all processes with what the servers ran, and checks the rules. Processes that still serve
-// have to be ended before, by Close. That answers come in time is not judged: a process that was stopped gives none,
-// and under the race detector on few cores none is sure to.
-func (f *Fleet) Check() (*rulecheck.JoinedReport, error) {
-	sources, done, err := f.sources()
-	defer done()
-	if err != nil {
-		return nil, err
-	}
-	f.mu.Lock()
-	truth := f.truth
-	truth.Events = slices.Clone(f.truth.Events)
-	f.mu.Unlock()
-	return rulecheck.Join(sources, &truth, rulecheck.JoinOptions{OperationOf: Operation, DeadlineSlack: 60_000})
-}
-
-// sources are the traces of all processes, once they are whole; done closes them.
-func (f *Fleet) sources() (all []rulecheck.Source, done func(), err error) {
-	done = func() {
-		for _, s := range all {
-			s.Trace.(*os.File).Close()
-		}
-	}
-	for _, g := range f.Gatherers {
-		g.mu.Lock()
-		traces := slices.Clone(g.traces)
-		g.mu.Unlock()
-		for i, t := range traces {
-			<-t.whole
-			file, err := os.Open(t.file)
-			if err != nil {
-				return all, done, err
-			}
-			all = append(all, rulecheck.Source{Name: fmt.Sprintf("%s, process %d", g.Name, i+1), Gatherer: g.Number, Trace: file})
-		}
-	}
-	return all, done, nil
-}
-
-// Verdict ends a fleet and says what went wrong: faults of its processes, and rules that they broke together.
-func (f *Fleet) Verdict() (*rulecheck.JoinedReport, error) {
-	f.Close()
-	j, err := f.Check()
-	if err == nil && !j.Passed() {
-		err = fmt.Errorf("%v; %s", j.Violations, j.Incomplete)
-	}
-	return j, errors.Join(f.Faults(), err)
-}
-
 // Load has the front ask until stop is called, or ctx ends.
 func (f *Fleet) Load(ctx context.Context) (stop func()) {
 	playing, enough := context.WithCancel(ctx)
@@ -446,249 +279,6 @@
 	}
 }
 
-// disturbedLinks returns the names of the links that are cut or do something to what passes.
-func (f *Fleet) disturbedLinks() (names []string) {
-	for _, link := range f.Links("*") {
-		if weather, gone, _ := link.state(); gone || weather != (Weather{}) {
-			names = append(names, link.Name())
-		}
-	}
-	return names
-}
-
-// close ends a gatherer.
-func (g *Gatherer) close() {
-	g.fleet.end(g.Process())
-	g.Free()
-	if g.agent != nil {
-		g.agent.Close()
-	}
-}
-
-// Process is its newest process, nil before the first.
-func (g *Gatherer) Process() *process.Process {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.process
-}
-
-// StateFolder is where its state outlasts its processes.
-func (g *Gatherer) StateFolder() string { return filepath.Join(g.Folder, "state") }
-
-// ConfigFile and OperatorFile are what it reads.
-func (g *Gatherer) ConfigFile() string { return filepath.Join(g.Folder, "config.json") }
-
-// OperatorFile is the operator's own file of the gatherer.
-func (g *Gatherer) OperatorFile() string { return filepath.Join(g.Folder, "operator.conf") }
-
-// WriteFiles writes what the next process reads, and what a SIGHUP has the one that serves read again.
-func (g *Gatherer) WriteFiles() error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.write()
-}
-
-func (g *Gatherer) write() error {
-	f := g.fleet
-	own := f.Scenario.settings(g.Number-1, g.Hall)
-	config := map[string]any{"name": g.Name, "listen": g.Address, "discovery": f.Link(g.Name + ":discovery").Address(), "seed": fmt.Sprintf("%x", f.Scenario.Seed*1000+uint64(g.Number)*100+uint64(g.started)),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": cmp.Or(f.terms.MemoryMB, 192), "sockets": 1024}, "settings": own}
-	if g.Known != "" {
-		config["known"] = json.RawMessage(g.Known)
-	}
-	text, err := json.MarshalIndent(config, "", " ")
-	if err != nil {
-		return err
-	}
-	var operator strings.Builder
-	operator.WriteString("record /proc/self/fd/3 most 256MB at-once\n")
-	if f.terms.State {
-		operator.WriteString("state in state keep 1min\n")
-	}
-	if g.Reports != "" {
-		fmt.Fprintf(&operator, "report listen %s\n", g.Reports)
-	}
-	governed, err := g.policyDirectives()
-	if err != nil {
-		return err
-	}
-	operator.WriteString(governed)
-	operator.WriteString(f.terms.Operator + "\n" + g.Operator + "\n")
-	return errors.Join(os.WriteFile(g.ConfigFile(), text, 0o644), os.WriteFile(g.OperatorFile(), []byte(operator.String()), 0o644))
-}
-
-// Start starts a process of it and waits until it is ready.
-func (g *Gatherer) Start(ctx context.Context) error {
-	p, err := g.Launch()
-	if err != nil {
-		return err
-	}
-	return g.Ready(ctx, p)
-}
-
-// StartFrail is Start for a process that may end by itself, at any time from its start on.
-func (g *Gatherer) StartFrail(ctx context.Context) error {
-	p, err := g.Launch()
-	if err != nil {
-		return err
-	}
-	p.ExpectExit()
-	return g.Ready(ctx, p)
-}
-
-// Launch starts a process of it and does not wait.
-func (g *Gatherer) Launch() (*process.Process, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.started++
-	if err := g.save(); err != nil {
-		return nil, err
-	}
-	if err := g.write(); err != nil {
-		return nil, err
-	}
-	trace, end, err := record(filepath.Join(g.Folder, fmt.Sprintf("trace-%d", g.started)))
-	if err != nil {
-		return nil, err
-	}
-	defer end.Close() // the process has its own
-	p, err := process.Start(fmt.Sprintf("%s.%d", g.Name, g.started), g.Binary, []string{"serve", "--config", g.ConfigFile(), "--operator", g.OperatorFile()}, nil, end)
-	if err != nil {
-		return nil, err
-	}
-	g.process, g.processes, g.traces = p, append(g.processes, p), append(g.traces, trace)
-	return p, nil
-}
-
-// Ready waits until a process of it takes lookups.
-func (g *Gatherer) Ready(ctx context.Context, p *process.Process) error {
-	ctx, cancel := context.WithTimeout(ctx, 120*time.Second)
-	defer cancel()
-	startedAt := time.Now()
-	err := process.WaitUntil(ctx, g.Name+" is ready", func() bool { return !p.Alive() || g.answers() })
-	if err == nil && p.Alive() && !p.Sent(syscall.SIGSTOP) {
-		g.fleet.noteStart(time.Since(startedAt))
-	}
-	if err == nil && !p.Alive() && !p.ExitExpected() { // another fault may have ended it meanwhile
-		err = fmt.Errorf("%s ended at its start: %v: %.2000s", p.Name, p.Err(), p.Log())
-	}
-	return err
-}
-
-func (g *Gatherer) answers() bool { return experiment.IsReady(g.Address) }
-
-// Serves reports whether its newest process runs and is not stopped.
-func (g *Gatherer) Serves() bool {
-	p := g.Process()
-	return p != nil && p.Alive() && !p.Stopped()
-}
-
-// Kill ends its process with no warning.
-func (g *Gatherer) Kill() {
-	if p := g.Process(); p != nil && p.Alive() {
-		p.Kill()
-	}
-}
-
-// save keeps the state folder as it is, for a later start with a stale one.
-func (g *Gatherer) save() error {
-	if !g.fleet.terms.State {
-		return nil
-	}
-	backup := filepath.Join(g.Folder, fmt.Sprintf("backup-%d", g.started))
-	if err := os.MkdirAll(g.StateFolder(), 0o755); err != nil {
-		return err
-	}
-	g.backup = backup
-	return os.CopyFS(backup, os.DirFS(g.StateFolder()))
-}
-
-// Age makes its state folder what the next process is to find: kept, stale (as it was when its last process started),
-// torn (its newest file lacks its last bytes) or gone.
-func (g *Gatherer) Age(state string) error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.fleet.terms.State {
-		return nil
-	}
-	switch state {
-	case "stale":
-		if err := os.RemoveAll(g.StateFolder()); err != nil {
-			return err
-		}
-		return os.CopyFS(g.StateFolder(), os.DirFS(g.backup))
-	case "gone":
-		return os.RemoveAll(g.StateFolder())
-	case "torn":
-		return tear(g.StateFolder())
-	}
-	return nil
-}
-
-// tear takes the last bytes of the newest file of a folder that has any.
-func tear(folder string) error {
-	entries, err := os.ReadDir(folder)
-	if err != nil {
-		return err
-	}
-	newest, size, at := "", int64(0), time.Time{}
-	for _, e := range entries {
-		if info, err := e.Info(); err == nil && info.Mode().IsRegular() && info.Size() > 0 && !info.ModTime().Before(at) {
-			newest, size, at = filepath.Join(folder, e.Name()), info.Size(), info.ModTime()
-		}
-	}
-	if newest == "" {
-		return nil
-	}
-	return os.Truncate(newest, size-min(size, 7))
-}
-
-// Occupy has something else listen on its port.
-func (g *Gatherer) Occupy() (err error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.taken == nil {
-		g.taken, err = net.Listen("tcp", g.Address)
-	}
-	return err
-}
-
-// Free takes that away.
-func (g *Gatherer) Free() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.taken != nil {
-		g.taken.Close()
-		g.taken = nil
-	}
-}
-
-// settings are what the platform would tell a gatherer of this fleet: the scenario's terms in the platform's words,
-// times in microseconds.
-func (s *Scenario) settings(number int, hall string) map[string]any {
-	us := func(ms float64) float64 { return ms * 1000 }
-	var classes []map[string]any
-	var whole, least, partial []float64
-	effects := map[string]string{"idempotent": "pure", "fingerprinted": "token", "once-only": "side_effect"}
-	for _, ix := range s.Indexes {
-		classes = append(classes, map[string]any{"name": ix.Name, "effect": effects[ix.Effect], "goalTime": us(ix.Soft), "hardLimit": us(ix.Hard), "lateValue": ix.Late, "worth": ix.Gain, "window": us(ix.Window)})
-		whole, least, partial = append(whole, ix.Need), append(least, ix.Least), append(partial, ix.Partial)
-	}
-	r := s.Rules
-	return map[string]any{"tick": us(s.Tick), "balancers": s.Gatherers.Count, "myNumber": number, "zone": hall, "discovery": "pushed", "classes": classes,
-		"domain": map[string]any{"cells": s.Layout.Sets, "inARow": s.Layout.Row, "shards": s.Layout.Shards, "partsACall": r.CallParts, "call": us(s.CallCost()), "completeFrom": whole, "classFloor": least, "partialEarns": partial},
-		"limits": map[string]any{"cancel": r.Cancel != "nothing", "connectTimeout": us(r.Connect), "idleClose": us(r.Idle), "streamsPerConn": 100, "attemptsCap": r.Calls, "secondCopies": r.Copies, "retryAfter": true, "maxRetryAfter": us(r.ComeBack), "mostHeld": s.Gatherers.Held},
-		"rules":  map[string]any{"budgetShare": r.Share, "extraFloor": r.Free, "resendSpan": us(r.Span), "drainGrace": us(r.Grace), "answerSlack": us(r.Slack + 50), "cold": us(r.ColdTime), "coldShare": r.ColdFrom, "fall": us(r.FallSpan), "fallMultiple": r.FallTimes}}
-}
-
-// entry is an entry of the list as the gatherer's agent tells it: each server's address is that of its own link there.
-func (g *Gatherer) entry(m discoveryserver.Member) discoveryserver.Member {
-	if k, err := g.fleet.link(g.Name, m.ID, m.HostPort); err == nil {
-		m.HostPort = k.Address()
-	}
-	return m
-}
-
 // Members are the list as a gatherer's agent would tell it.
 func (f *Fleet) Members(g *Gatherer) []discoveryserver.Member {
 	all := f.Discovery.Members()
--- a/internal/testbed/processtest/fleet_test.go
+++ b/internal/testbed/processtest/fleet_test.go
@@ -296,7 +296,7 @@
 		t.Errorf("%v %v", j.Counts, j.Violations)
 	}
 	for _, g := range f.Gatherers {
-		file, err := os.Open(g.traces[0].file)
+		file, err := os.Open(g.traces[0].path)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/testbed/soak/policies.go
+++ b/internal/testbed/soak/policies.go
@@ -47,7 +47,7 @@
 		s.Process().Kill()
 		return nil
 	}, startAgain},
-	{"term", func(ctx context.Context, s *processtest.PolicyServer) error { return endPolicyServer(ctx, s) }, startAgain},
+	{"term", endPolicyServer, startAgain},
 	{"stop", func(ctx context.Context, s *processtest.PolicyServer) error { return s.Process().Stop(ctx) },
 		func(_ *processtest.Fleet, s *processtest.PolicyServer) error { return s.Process().Continue() }},
 	{"stop and term", func(ctx context.Context, s *processtest.PolicyServer) error {
@@ -111,7 +111,7 @@
 // proposeChanges proposes one change after another until ctx ends, whatever becomes of them.
 func proposeChanges(ctx context.Context, f *processtest.Fleet) {
 	for n := 1; ctx.Err() == nil; n++ {
-		propose(ctx, f, n)
+		_, _ = propose(ctx, f, n) // there may be no leader
 		wait(ctx, proposalInterval)
 	}
 }
