--- a/internal/storage/journal/journal.go
+++ b/internal/storage/journal/journal.go
@@ -27,7 +27,7 @@
 	generation uint64
 	file       *os.File
 	size       int64
-	failure    error // of an earlier write, after which the file's content is unknown
+	failure    error // of an earlier write, after which the files' content is unknown; a snapshot ends it
 	sync       func(*os.File) error
 }
 
@@ -102,7 +102,7 @@
 }
 
 // Append stores records by one write, and returns once they are on the disk. After an error the content of the disk
-// is unknown: nothing more can be written until the folder is opened anew.
+// is unknown: nothing more can be appended until a snapshot has begun new files, or the folder is opened anew.
 func (j *Journal) Append(records ...[]byte) error {
 	if j.failure != nil {
 		return j.failure
@@ -126,21 +126,22 @@
 	return nil
 }
 
+// Failed reports whether a write has failed, so that records can only be stored by a snapshot.
+func (j *Journal) Failed() bool { return j.failure != nil }
+
 // SnapshotDue reports whether the journal has outgrown its limit.
 func (j *Journal) SnapshotDue() bool { return j.size > j.maxBytes }
 
 // Size is the journal's size in bytes, without its snapshot.
 func (j *Journal) Size() int64 { return j.size }
 
-// Snapshot replaces all records by others that stand for them. write gets a function that takes these.
+// Snapshot replaces all records by others that stand for them, in new files. write gets a function that takes these.
 func (j *Journal) Snapshot(write func(put func(record []byte) error) error) error {
-	if j.failure != nil {
-		return j.failure
-	}
 	previous := j.file
 	if err := j.writeSnapshot(write); err != nil {
 		return err
 	}
+	j.failure = nil
 	if previous != nil {
 		previous.Close()
 	}
--- a/internal/storage/journal/journal_test.go
+++ b/internal/storage/journal/journal_test.go
@@ -240,6 +240,58 @@
 	}
 }
 
+// TestSnapshotEndsAFailure guards against a journal that takes nothing more after one failed write, and against one
+// that loses what it takes then. The disk fails once, at each of its calls in turn.
+func TestSnapshotEndsAFailure(t *testing.T) {
+	for fails := range 12 {
+		dir := t.TempDir()
+		j, _, _ := openJournal(t, dir, 120)
+		calls := 0
+		j.sync = func(f *os.File) error {
+			if calls++; calls == fails+1 {
+				return fs.ErrPermission
+			}
+			return f.Sync()
+		}
+		var acknowledged []string
+		snapshot := func() error {
+			return j.Snapshot(func(put func([]byte) error) error {
+				for _, rec := range acknowledged {
+					if err := put([]byte(rec)); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+		}
+		failures := 0
+		for _, rec := range sampleRecords(20) {
+			if err := j.Append([]byte(rec)); err != nil {
+				failures++
+				if !j.Failed() {
+					t.Errorf("%d calls: %v, and it has not failed", fails, err)
+				}
+				if err := snapshot(); err != nil || j.Failed() {
+					t.Fatalf("%d calls: no snapshot after a failure: %v", fails, err)
+				}
+				continue
+			}
+			acknowledged = append(acknowledged, rec)
+			if _, got, _ := openJournal(t, copyDir(t, dir), 120); !slices.Equal(got, acknowledged) {
+				t.Fatalf("%d calls: after a crash %d of %d acknowledged records are there", fails, len(got), len(acknowledged))
+			}
+			if j.SnapshotDue() {
+				_ = snapshot() // one that fails must not spoil what is appended behind it
+			}
+		}
+		j.Close()
+		_, got, _ := openJournal(t, dir, 120)
+		if failures > 1 || len(acknowledged) < 19 || !slices.Equal(got, acknowledged) {
+			t.Errorf("%d calls: %d failures, %d acknowledged, %d are there", fails, failures, len(acknowledged), len(got))
+		}
+	}
+}
+
 // TestInvalidRecordsAndFoldersAreRefused appends records of invalid sizes, and opens a file as a folder.
 func TestInvalidRecordsAndFoldersAreRefused(t *testing.T) {
 	j, _, _ := openJournal(t, t.TempDir(), 100)
--- a/internal/storage/journal/snapshot.go
+++ b/internal/storage/journal/snapshot.go
@@ -81,6 +81,8 @@
 	snapshotPath := generationPath(j.folder, snapshotPrefix, generation)
 	if err := errors.Join(j.sync(journal), os.Rename(temporary, snapshotPath), j.syncFolder()); err != nil {
 		journal.Close()
+		// The snapshot may have its name already, and would be read in place of what is appended to the present journal.
+		j.failure = fmt.Errorf("journal: %w", err)
 		return err
 	}
 	j.generation = generation
