State: non-idempotent queries are taken again once the disk is well

What callers saw: a gatherer whose disk had refused writes for 0.3 to 1.5 s rejected every non-idempotent query until it was restarted. No claim counts as stored before that is synced. TestClaimsAreStoredAgainOnceTheDiskIsWell failed before.

--- a/internal/storage/statedir/gathererstate.go
+++ b/internal/storage/statedir/gathererstate.go
@@ -22,8 +22,12 @@
 	claims       []claim // with those of which nothing has run, the oldest first
 	segmentMap   *ownership.Map
 	unknownUntil float64 // until then, IDs of before the start may be missing
+	repairAt     float64 // when a journal that has failed may be replaced again
 }
 
+// repairInterval is between two tries to replace a journal that has failed, in milliseconds: each writes all there is.
+const repairInterval = 1000
+
 // claim is a query that may have run.
 type claim struct {
 	id     string
@@ -137,7 +141,7 @@
 		g.claims = append(g.claims, claim{id, now})
 		records = append(records, encodeRecord(stateRecord{Sent: id, At: now}))
 	}
-	err := g.append(records)
+	err := g.appendOrRepair(records, now)
 	if err != nil { // the next call must not take them for stored
 		for _, c := range g.claims[known:] {
 			delete(g.sentAt, c.id)
@@ -165,6 +169,16 @@
 	return g.append([][]byte{encodeMapRecord(m)})
 }
 
+// appendOrRepair stores records which the present state holds already. Where the journal has failed, as on a disk that
+// was full, a snapshot stores them in new files.
+func (g *GathererState) appendOrRepair(records [][]byte, now float64) error {
+	if g.journal == nil || len(records) == 0 || !g.journal.Failed() || now < g.repairAt {
+		return g.append(records)
+	}
+	g.repairAt = now + repairInterval
+	return g.journal.Snapshot(g.writeAll)
+}
+
 // append stores records, and a snapshot where that is due.
 func (g *GathererState) append(records [][]byte) error {
 	if g.journal == nil || len(records) == 0 {
--- a/internal/storage/statedir/gathererstate_test.go
+++ b/internal/storage/statedir/gathererstate_test.go
@@ -131,6 +131,51 @@
 	}
 }
 
+// TestClaimsAreStoredAgainOnceTheDiskIsWell guards against a gatherer that rejects every non-idempotent query until it is
+// restarted, since its disk failed once.
+func TestClaimsAreStoredAgainOnceTheDiskIsWell(t *testing.T) {
+	const retention = 10_000
+	dir := t.TempDir()
+	g, _, err := OpenGathererState(dir, 4<<20, retention, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := g.RecordSent([]string{"a"}, 1); err != nil {
+		t.Fatal(err)
+	}
+	full, calls := true, 0
+	withSync(t, g, dir, func(f *os.File) error {
+		if calls++; full {
+			return os.ErrPermission
+		}
+		return f.Sync()
+	})
+	for _, now := range []float64{2, 3, 4, 5, 6} {
+		if err := g.RecordSent([]string{"b"}, now); err == nil {
+			t.Error("a name that is not on the disk counts as written")
+		}
+	}
+	if calls > 3 {
+		t.Errorf("a disk that fails was written to %d times in 5 ms", calls)
+	}
+	full = false
+	if err := g.RecordSent([]string{"b"}, 2000); err != nil {
+		t.Fatalf("the disk is well: %v", err)
+	}
+	if err := g.RecordSent([]string{"c"}, 2001); err != nil {
+		t.Fatalf("the disk is well: %v", err)
+	}
+	again, _, err := OpenGathererState(copyDir(t, dir), 4<<20, retention, 2002)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		if !again.MayHaveRun(id, false, 2002) {
+			t.Errorf("%s is not stored", id)
+		}
+	}
+}
+
 func copyDir(t testing.TB, from string) string {
 	t.Helper()
 	to := t.TempDir()
