--- a/internal/testbed/soak/days.go
+++ b/internal/testbed/soak/days.go
@@ -60,8 +60,8 @@
 const spanText = "from 500ms to 7s least 100ms most 1.5s\n"
 
 var faultTexts = map[Kind]string{
-	Faults: "faults 14 of term kill stop cut reset silent silent-there mute delay drain server-kill hang " +
-		"discovery-silent slow fail restart hangup " + spanText,
+	Faults: "faults 16 of term kill stop restart hangup refuse-writes port-taken cut reset silent silent-there " +
+		"silent-back mute delay jitter throttle garble server-kill hang slow fail drain discovery-silent " + spanText,
 	Restarts: "faults 6 of restart from 500ms to 7s least 100ms most 300ms\n" +
 		"faults 5 of hangup from 500ms to 7s least 100ms most 300ms\n" +
 		"faults 4 of hang drain slow discovery-silent " + spanText,
