Policy server: SIGTERM while a membership change can't be committed is forced

Cause: of the crossings that were to be forced this one was missing. Change: one moment more in TestPolicyServersEndAtAnyMoment; it was found sound.

--- a/internal/control/policyclient/shutdown_test.go
+++ b/internal/control/policyclient/shutdown_test.go
@@ -83,8 +83,8 @@
 }
 
 // TestPolicyServersEndAtAnyMoment guards against policy servers that do not end on SIGTERM: just after they went on,
-// twice, cut off with a proposal that can't be committed, without a log that can be written, and while they wait for
-// a peer at their start.
+// twice, cut off with a proposal or a membership change that can't be committed, without a log that can be written,
+// and while they wait for a peer at their start.
 func TestPolicyServersEndAtAnyMoment(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 1, 10, threeServers)
@@ -109,6 +109,14 @@
 			propose(s)
 			return err
 		}},
+		{"while a membership change is under way", func(s *processtest.PolicyServer) error {
+			err := s.Isolate(true)
+			ctx, cancel := context.WithTimeout(f.ctx, time.Second)
+			defer cancel()
+			client := policyclient.Client{Servers: []string{s.HTTP}}
+			f.Logf("removed from %s: %v", s.Name, client.RemoveServer(ctx, "w9")) // never a member: nothing changes
+			return err
+		}},
 		{"without a log that can be written", func(s *processtest.PolicyServer) error {
 			s.Process().ExpectExit() // raft panics where it can't save its term
 			err := s.Process().RefuseWrites(true)
