--- a/internal/testbed/soak/rollouts.go
+++ b/internal/testbed/soak/rollouts.go
@@ -83,9 +83,10 @@
 		}
 		disturbed++
 	}
-	if most := len(f.Gatherers) + disturbed; d.steps > most {
+	f.Say("the rollout has taken %d steps and %d controllers", d.steps, disturbed+1)
+	if least := len(f.Gatherers); d.steps < least || d.steps > least+disturbed {
 		d.faults = append(d.faults, fmt.Errorf("%d steps of %d gatherers with %d faults of the controller", d.steps,
-			len(f.Gatherers), disturbed))
+			least, disturbed))
 	}
 	return errors.Join(d.faults...)
 }
