Process rig: a fault ends once it has begun, and nothing starts on a taken port

Cause: a kill met the process that a taken port was about to end, and that kill's end started a successor while the port was still held. By reading beside it: a fault that took longer to begin than it lasts was ended before, and then never; a port stayed taken. Change: a successor is left to the end of port-taken while the port is held, and the end of a fault waits until it has begun.

--- a/internal/testbed/processtest/faults.go
+++ b/internal/testbed/processtest/faults.go
@@ -259,11 +259,12 @@
 	return g.struck[ft]
 }
 
-// restartAfter starts the successor of a process that has ended, unless another fault has done so.
+// restartAfter starts the successor of a process that has ended, unless another fault has done so, or will once the
+// port is free.
 func (g *Gatherer) restartAfter(ctx context.Context, p *process.Process, state string) error {
 	g.restarts.Lock()
 	defer g.restarts.Unlock()
-	if g.Process() != p || ctx.Err() != nil {
+	if g.Process() != p || ctx.Err() != nil || g.portTaken() {
 		return nil
 	}
 	if err := g.Age(state); err != nil {
--- a/internal/testbed/processtest/gatherer.go
+++ b/internal/testbed/processtest/gatherer.go
@@ -184,6 +184,13 @@
 	return err
 }
 
+// portTaken reports whether something else listens on its port.
+func (g *Gatherer) portTaken() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.portHolder != nil
+}
+
 // Free takes that away.
 func (g *Gatherer) Free() {
 	g.mu.Lock()
--- a/internal/testbed/processtest/timeline.go
+++ b/internal/testbed/processtest/timeline.go
@@ -37,7 +37,8 @@
 	var load sync.WaitGroup
 	load.Go(func() { f.Front.Play(ctx, time.Duration(f.Scenario.Length*1e6)) })
 	began := time.Now()
-	var later sync.WaitGroup // ends of faults that wait for processes
+	begun := map[*Fault]chan struct{}{} // closed once a fault has begun
+	var later sync.WaitGroup            // ends of faults that wait for processes
 	for _, s := range f.Scenario.steps() {
 		select {
 		case <-ctx.Done():
@@ -51,7 +52,18 @@
 		} else {
 			f.Say("%s", s.f.Line())
 		}
-		later.Go(func() { f.fault(f.Do(ctx, s.f, s.end)) })
+		if !s.end {
+			begun[s.f] = make(chan struct{})
+		}
+		done := begun[s.f]
+		later.Go(func() {
+			if s.end {
+				<-done // a fault may take longer to begin than it lasts
+			} else {
+				defer close(done)
+			}
+			f.fault(f.Do(ctx, s.f, s.end))
+		})
 	}
 	later.Wait()
 	load.Wait()
