Front end: connections that wait to be accepted are served before the listener closes

Cause: the kernel establishes and queues connections by itself, and resets those that are not accepted when their listening socket closes. The lame-duck period ended with a plain close. Change: Accept goes on without waiting once the period is over; where the queue is empty the socket stops listening in the same step. Bounded by the shutdown's own time.

--- a/internal/gatherer/frontend/clientconn.go
+++ b/internal/gatherer/frontend/clientconn.go
@@ -54,24 +54,6 @@
 	return conn
 }
 
-// trackingListener returns each accepted connection as a clientConn.
-type trackingListener struct {
-	net.Listener
-	tracker *connTracker
-}
-
-// Accept implements net.Listener.
-func (l trackingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	if tcp, ok := c.(*net.TCPConn); ok {
-		return &clientConn{TCPConn: tcp, lingerFor: lingerTimeout, lingering: &l.tracker.lingering}, nil
-	}
-	return c, nil
-}
-
 // Read implements net.Conn.
 func (c *clientConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/gatherer/frontend/conntracker_test.go
+++ b/internal/gatherer/frontend/conntracker_test.go
@@ -166,7 +166,7 @@
 	}
 	defer l.Close()
 	c := newConnTracker(8, 8)
-	taps := trackingListener{l, c}
+	taps := &trackingListener{Listener: l, tracker: c}
 	var far []*net.TCPConn
 	for range c.lingering.limit + 3 {
 		far = append(far, dial(t, l.Addr().String()))
--- a/internal/gatherer/frontend/server.go
+++ b/internal/gatherer/frontend/server.go
@@ -73,7 +73,7 @@
 
 	serveDone chan struct{} // closed once Serve has returned
 	mu        sync.Mutex
-	listener  net.Listener
+	listener  *trackingListener
 }
 
 // shutdownState is how far a shutdown has come.
@@ -112,11 +112,12 @@
 
 // Serve accepts connections until Shutdown has ended.
 func (s *Server) Serve(l net.Listener) error {
+	tracked := &trackingListener{Listener: l, tracker: s.conns}
 	s.mu.Lock()
-	s.listener = l
+	s.listener = tracked
 	s.mu.Unlock()
 	defer close(s.serveDone)
-	err := s.http.Serve(trackingListener{l, s.conns})
+	err := s.http.Serve(tracked)
 	if s.shutdown.started.Load() { // Shutdown has closed the listener
 		return nil
 	}
--- a/internal/gatherer/frontend/shutdown.go
+++ b/internal/gatherer/frontend/shutdown.go
@@ -42,7 +42,7 @@
 	case <-ctx.Done():
 	case <-time.After(lameDuckPeriod):
 	}
-	s.closeListener()
+	s.closeListener(ctx)
 	select {
 	case <-ctx.Done(): // some client holds a connection on which it sends nothing
 	case <-s.conns.shutDown():
@@ -55,16 +55,22 @@
 	return s.errorLog.Close()
 }
 
-// closeListener ends Serve and waits for it, so that every connection accepted is counted.
-func (s *Server) closeListener() {
+// closeListener accepts the connections that clients have established, ends Serve and waits for it, so that every
+// connection is counted.
+func (s *Server) closeListener(ctx context.Context) {
 	s.mu.Lock()
 	l := s.listener
 	s.mu.Unlock()
 	if l == nil {
 		return
 	}
-	l.Close()
-	<-s.serveDone
+	l.drain()
+	select {
+	case <-s.serveDone:
+	case <-ctx.Done(): // more clients come than can be accepted
+		l.Close()
+		<-s.serveDone
+	}
 }
 
 // closeAfterResponse has the response end its connection where no later request on it could be served: the server
