--- a/internal/testbed/processtest/faults_test.go
+++ b/internal/testbed/processtest/faults_test.go
@@ -1,6 +1,7 @@
 package processtest
 
 import (
+	"syscall"
 	"testing"
 	"time"
 
@@ -72,3 +73,24 @@
 		}
 	}
 }
+
+// TestSignalToEndedProcessIsNoFault guards against a day that fails as a fault strikes a process which has ended and is
+// not waited for yet: what it has started holds its output.
+func TestSignalToEndedProcessIsNoFault(t *testing.T) {
+	p, err := process.Start("ended", "/bin/sh", []string{"-c", "sleep 20 & exit 0"}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Kill()
+	var signalled error
+	err = process.WaitUntil(minute(t), "the process has ended", func() bool {
+		signalled = p.Signal(syscall.SIGCONT)
+		return signalled != nil
+	})
+	if err != nil || !p.Alive() {
+		t.Fatalf("%v, waited for: %v", err, !p.Alive())
+	}
+	if err := ignoreEnded(p, signalled); err != nil {
+		t.Error(err)
+	}
+}
