Process rig: a client waits for a late answer, and each lost try says how it was lost

Cause: the rig's client gave up at its time itself and counted the try as lost. By the standing test an answer up to half a second later only earns nothing; a later one, or none, is lost. Change: the client waits that long. An answer behind its time is late, earns nothing, and is no answer in the check after the last fault, as before.

--- a/cmd/yokeroute-testbed/soak.go
+++ b/cmd/yokeroute-testbed/soak.go
@@ -124,9 +124,9 @@
 func (o *soakOptions) print(cmd *cobra.Command, r *soak.Result) {
 	out := cmd.OutOrStdout()
 	if r.Err == nil {
-		fmt.Fprintf(out, "%s: passed, %d operations, %d tries lost, %.1f s\n", r.Day, r.Operations, r.Lost, r.Took.Seconds())
+		fmt.Fprintf(out, "%s: passed, %d operations, %s, %.1f s\n", r.Day, r.Operations, r.Tries(), r.Took.Seconds())
 		return
 	}
-	fmt.Fprintf(out, "%s: FAILED after %.1f s: %.600s\n", r.Day, r.Took.Seconds(), r.Err)
+	fmt.Fprintf(out, "%s: FAILED after %.1f s, %s: %.600s\n", r.Day, r.Took.Seconds(), r.Tries(), r.Err)
 	fmt.Fprintf(out, "  kept in %s; again: yokeroute-testbed soak --first %d --seeds 1 --out %s\n", r.Folder, r.Day.Seed, o.out)
 }
--- a/internal/testbed/processtest/faults.go
+++ b/internal/testbed/processtest/faults.go
@@ -185,7 +185,7 @@
 	if ft.Kind == "port-taken" {
 		return g.startOnTakenPort(ctx, ft)
 	}
-	g.strike(ft, p)
+	g.noteStrike(ft, p)
 	g.fleet.active.begin(ft.Kind, p.Name)
 	switch ft.Kind {
 	case "kill":
@@ -244,14 +244,31 @@
 	return err
 }
 
-// strike notes the process that a fault strikes.
-func (g *Gatherer) strike(ft *Fault, p *process.Process) {
+// noteStrike notes the process that a fault strikes.
+func (g *Gatherer) noteStrike(ft *Fault, p *process.Process) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.struck == nil {
 		g.struck = map[*Fault]*process.Process{}
 	}
 	g.struck[ft] = p
+	g.lastStrike = strike{ft.Kind, time.Now()}
+}
+
+// strike is a fault that has struck a gatherer.
+type strike struct {
+	kind string
+	at   time.Time
+}
+
+// lastFault returns the kind of the last fault that has struck the gatherer, and how long ago; no kind for none.
+func (g *Gatherer) lastFault() (kind string, since time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.lastStrike.kind == "" {
+		return "", 0
+	}
+	return g.lastStrike.kind, time.Since(g.lastStrike.at)
 }
 
 // struckBy returns the process that a fault has struck, nil for none.
@@ -287,7 +304,7 @@
 	if err != nil {
 		return err
 	}
-	g.strike(ft, p)
+	g.noteStrike(ft, p)
 	p.ExpectExit()
 	return p.Wait(ctx)
 }
--- a/internal/testbed/processtest/front.go
+++ b/internal/testbed/processtest/front.go
@@ -2,407 +2,227 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"io"
-	"maps"
 	"math"
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"yokeroute/internal/pcg"
-	"yokeroute/internal/testbed/emulator"
-	"yokeroute/internal/testbed/experiment"
 )
 
-// Front stands in for the platform's: it deals lookups out over the gatherers of a client's hall, goes on sending to a
-// dead one until it notices, takes one in again once it is ready, and tries again as clients do.
-type Front struct {
-	f       *Fleet
-	places  []*place
-	chance  *pcg.Source
-	stop    context.CancelFunc
-	ctx     context.Context
-	wait    sync.WaitGroup
-	looking sync.WaitGroup
-
-	mu     sync.Mutex
-	total  Tallies
-	began  time.Time
-	asked  int
-	events *Series
-}
-
-// place is one gatherer as the front knows it.
-type place struct {
-	g      *Gatherer
-	client *http.Client
-	base   string
-
-	mu  sync.Mutex
-	in  bool
-	bad time.Time // since when it has not answered that it is ready, zero while it does
-}
-
-// Ending is how a try ended, as its client saw it.
-type Ending string
-
-// The endings of tries.
 const (
-	Satisfied Ending = "satisfied"
-	Partial   Ending = "partial" // satisfied, not whole
-	Nacked    Ending = "nacked"
-	Failed    Ending = "failed" // aborted, or any other answer
-	Lost      Ending = "lost"   // the connection broke, or the client's time was up without an answer
-	Refused   Ending = "unreached"
-)
+	readinessInterval = 100 * time.Millisecond
+	readinessTimeout  = time.Second
 
-// Try is one try of an operation.
-type Try struct {
-	Name   string // OPERATION-NUMBER
-	Index  string
-	Began  time.Time
-	Took   time.Duration
-	Ending Ending
-	Value  float64 // earned: of the operation's gain, by the terms of its index
-}
+	connectTimeout = 2 * time.Second
+	idleConnTime   = time.Second
+	maxIdleConns   = 32 // to one gatherer
+)
 
-// Tally is what tries came to.
-type Tally struct {
-	Operations, Tries int
-	Endings           map[Ending]int
-	Value, Asked      float64                 // of operations: earned, and what all could have earned
-	Took              *hdrhistogram.Histogram `json:"-"` // microseconds of satisfied tries
-}
+// Front stands in for the platform's: it deals lookups out over the gatherers of a client's hall, goes on sending to a
+// dead one until it notices, takes one in again once it is ready, and tries again as clients do.
+type Front struct {
+	fleet      *Fleet
+	targets    []*frontTarget
+	chance     *pcg.Source
+	stop       context.CancelFunc
+	ctx        context.Context
+	operations sync.WaitGroup
+	watchers   sync.WaitGroup
 
-func newTally() *Tally {
-	return &Tally{Endings: map[Ending]int{}, Took: hdrhistogram.New(1, 60_000_000, 2)}
+	mu        sync.Mutex
+	total     Tallies
+	startedAt time.Time
+	drawn     int
+	events    *Series
+	lost      []LostTry
 }
 
-// Tallies are tallies by index.
-type Tallies map[string]*Tally
+// frontTarget is one gatherer as the front knows it.
+type frontTarget struct {
+	gatherer *Gatherer
+	client   *http.Client
+	base     string
 
-// Of is the tally of an index.
-func (t Tallies) Of(index string) *Tally {
-	if t[index] == nil {
-		t[index] = newTally()
-	}
-	return t[index]
+	mu           sync.Mutex
+	inRotation   bool
+	unreadySince time.Time // zero while it answers that it is ready
 }
 
-// Sum is all of them together.
-func (t Tallies) Sum() *Tally {
-	all := newTally()
-	for _, index := range slices.Sorted(maps.Keys(t)) {
-		one := t[index]
-		all.Operations += one.Operations
-		all.Tries += one.Tries
-		all.Value += one.Value
-		all.Asked += one.Asked
-		all.Took.Merge(one.Took)
-		for e, n := range one.Endings {
-			all.Endings[e] += n
+func newFront(fleet *Fleet) *Front {
+	f := &Front{fleet: fleet, chance: pcg.New(fleet.Scenario.Seed + 77), total: Tallies{}, events: &Series{}}
+	f.ctx, f.stop = context.WithCancel(context.Background())
+	for _, g := range fleet.Gatherers {
+		address := fleet.Link("front:" + g.Name).Address()
+		if fleet.terms.DirectFront {
+			address = g.Address
 		}
+		f.targets = append(f.targets, newFrontTarget(g, address))
 	}
-	return all
-}
-
-// Series is what operations earned by the second in which they were first asked.
-type Series struct{ Asked, Earned []float64 }
-
-func (s *Series) add(second int, asked, earned float64) {
-	for len(s.Asked) <= second {
-		s.Asked, s.Earned = append(s.Asked, 0), append(s.Earned, 0)
+	for _, target := range f.targets {
+		f.watchers.Go(func() { f.watchReadiness(target) })
 	}
-	s.Asked[second] += asked
-	s.Earned[second] += earned
+	return f
 }
 
-// Operation is the operation that a lookup's name is a try of.
-func Operation(name string) string {
-	if dash := strings.LastIndexByte(name, '-'); dash >= 0 {
-		return name[:dash]
-	}
-	return name
-}
-
-func newFront(f *Fleet) *Front {
-	fr := &Front{f: f, chance: pcg.New(f.Scenario.Seed + 77), total: Tallies{}, events: &Series{}}
-	fr.ctx, fr.stop = context.WithCancel(context.Background())
-	for _, g := range f.Gatherers {
-		base := f.Link("front:" + g.Name).Address()
-		if f.terms.DirectFront {
-			base = g.Address
-		}
-		fr.places = append(fr.places, &place{g: g, base: "http://" + base, in: true, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Second, DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}}})
+func newFrontTarget(g *Gatherer, address string) *frontTarget {
+	return &frontTarget{
+		gatherer:   g,
+		base:       "http://" + address,
+		inRotation: true,
+		client: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: maxIdleConns,
+			IdleConnTimeout:     idleConnTime,
+			DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		}},
 	}
-	for _, p := range fr.places {
-		fr.looking.Go(func() { fr.look(p) })
-	}
-	return fr
 }
 
 // Close ends it once all operations have ended.
-func (fr *Front) Close() {
-	fr.wait.Wait()
-	fr.stop()
-	fr.looking.Wait()
-	for _, p := range fr.places {
-		p.client.CloseIdleConnections()
+func (f *Front) Close() {
+	f.operations.Wait()
+	f.stop()
+	f.watchers.Wait()
+	for _, target := range f.targets {
+		target.client.CloseIdleConnections()
 	}
 }
 
 // Total is what has come of all that has ended so far.
-func (fr *Front) Total() *Tally {
-	fr.mu.Lock()
-	defer fr.mu.Unlock()
-	return fr.total.Sum()
+func (f *Front) Total() *Tally {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.total.Sum()
 }
 
 // ByIndex is the same by index; it is for reading once the load has ended.
-func (fr *Front) ByIndex() Tallies { return fr.total }
+func (f *Front) ByIndex() Tallies { return f.total }
 
 // Series is the load over time; it is for reading once the load has ended.
-func (fr *Front) Series() *Series { return fr.events }
+func (f *Front) Series() *Series { return f.events }
+
+// LostTries returns the tries that were lost so far.
+func (f *Front) LostTries() []LostTry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.lost)
+}
+
+// noteLost notes a lost try.
+func (f *Front) noteLost(try *Try, target *frontTarget, r *reply) {
+	lost := f.fleet.lostTry(try, target, r.loss(), r.err)
+	f.mu.Lock()
+	f.lost = append(f.lost, lost)
+	f.mu.Unlock()
+	f.fleet.Say("lost: %v", lost)
+}
 
-// look asks a gatherer every now and then whether it is ready, as the platform's front does.
-func (fr *Front) look(p *place) {
-	const every = 100 * time.Millisecond
-	tick := time.NewTicker(every)
+// watchReadiness asks a gatherer every now and then whether it is ready, as the platform's front does.
+func (f *Front) watchReadiness(target *frontTarget) {
+	tick := time.NewTicker(readinessInterval)
 	defer tick.Stop()
+	notice := milliseconds(f.fleet.Scenario.Clients.Notice)
 	for {
 		select {
-		case <-fr.ctx.Done():
+		case <-f.ctx.Done():
 			return
 		case <-tick.C:
 		}
-		ctx, cancel := context.WithTimeout(fr.ctx, time.Second)
-		ready := false
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, p.base+"/-/ready", nil)
-		if err == nil {
-			if resp, err := p.client.Do(req); err == nil {
-				io.Copy(io.Discard, resp.Body)
-				resp.Body.Close()
-				ready = resp.StatusCode == http.StatusOK
-			}
-		}
-		cancel()
-		p.mu.Lock()
-		switch {
-		case ready:
-			p.in, p.bad = true, time.Time{}
-		case p.bad.IsZero():
-			p.bad = time.Now()
-		case time.Since(p.bad) > time.Duration(fr.f.Scenario.Clients.Notice*1e6):
-			p.in = false
-		}
-		p.mu.Unlock()
+		target.noteReadiness(target.isReady(f.ctx), notice)
 	}
 }
 
-// choose picks a gatherer of a hall that is taken in, or of another where the hall has none.
-func (fr *Front) choose(hall string, draw float64) *place {
-	var near, any []*place
-	for _, p := range fr.places {
-		p.mu.Lock()
-		if p.in {
-			any = append(any, p)
-			if p.g.Hall == hall {
-				near = append(near, p)
-			}
-		}
-		p.mu.Unlock()
+func (t *frontTarget) isReady(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readinessTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, t.base+"/-/ready", nil)
+	if err != nil {
+		return false
 	}
-	switch {
-	case len(near) > 0:
-		return near[int(draw*float64(len(near)))]
-	case len(any) > 0:
-		return any[int(draw*float64(len(any)))]
+	resp, err := t.client.Do(req)
+	if err != nil {
+		return false
 	}
-	return nil
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body) // so that the connection can be kept
+	return resp.StatusCode == http.StatusOK
 }
 
-// Play sends the scenario's load for a while and waits until all operations have ended.
-func (fr *Front) Play(ctx context.Context, length time.Duration) {
-	fr.mu.Lock()
-	if fr.began.IsZero() {
-		fr.began = time.Now()
-	}
-	fr.mu.Unlock()
-	start := time.Now()
-	next := start
-	for {
-		fr.mu.Lock()
-		next = next.Add(time.Duration(-math.Log(1-fr.chance.Float64()) / fr.f.Scenario.Clients.Rate * 1e9))
-		fr.asked++
-		o := fr.draw(fr.asked)
-		fr.mu.Unlock()
-		if next.Sub(start) > length {
-			break
-		}
-		select {
-		case <-ctx.Done():
-			fr.wait.Wait()
-			return
-		case <-time.After(time.Until(next)):
-		}
-		fr.wait.Go(func() { fr.run(o) })
+// noteReadiness takes the gatherer in, or out of the rotation once it has not been ready for longer than notice.
+func (t *frontTarget) noteReadiness(ready bool, notice time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case ready:
+		t.inRotation = true
+		t.unreadySince = time.Time{}
+	case t.unreadySince.IsZero():
+		t.unreadySince = time.Now()
+	case time.Since(t.unreadySince) > notice:
+		t.inRotation = false
 	}
-	fr.wait.Wait()
 }
 
-// operation is one lookup with all of its tries.
-type operation struct {
-	name     string
-	ix       *emulator.Index
-	hall     string
-	first    int
-	parts    int
-	patience float64
-	chance   *pcg.Source
+func (t *frontTarget) isInRotation() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.inRotation
 }
 
-// draw is an operation by chance. The lock is held.
-func (fr *Front) draw(n int) *operation {
-	sc, draw := fr.f.Scenario, fr.chance.Float64()
-	o := &operation{name: fmt.Sprintf("op%x.%d", sc.Seed, n), ix: &sc.Indexes[len(sc.Indexes)-1], chance: pcg.New(uint64(fr.chance.Uint32()))}
-	for i := range sc.Indexes {
-		if draw -= sc.Indexes[i].Share; draw < 0 {
-			o.ix = &sc.Indexes[i]
-			break
+// choose picks a gatherer of a hall that is in rotation, or of another where the hall has none.
+func (f *Front) choose(hall string, draw float64) *frontTarget {
+	var near, all []*frontTarget
+	for _, target := range f.targets {
+		if !target.isInRotation() {
+			continue
 		}
+		all = append(all, target)
+		if target.gatherer.Hall == hall {
+			near = append(near, target)
+		}
+	}
+	switch {
+	case len(near) > 0:
+		return near[int(draw*float64(len(near)))]
+	case len(all) > 0:
+		return all[int(draw*float64(len(all)))]
 	}
-	o.parts = o.ix.Parts + int(fr.chance.Float64()*float64(o.ix.To-o.ix.Parts+1))
-	o.first = int(fr.chance.Float64() * float64(sc.Layout.Shards))
-	o.hall = sc.Halls[int(fr.chance.Float64()*float64(len(sc.Halls)))]
-	o.patience = sc.Clients.Patience + (1-sc.Clients.Patience)*fr.chance.Float64()
-	return o
+	return nil
 }
 
-// run asks until an operation has its answer, may not be asked again, or its time is up.
-func (fr *Front) run(o *operation) {
-	sc := fr.f.Scenario
-	began := time.Now()
-	until := began.Add(time.Duration(o.ix.Hard * 1e6))
-	earned := 0.0
-	for n := 0; ; n++ {
-		t, wait := fr.try(o, n, began, until)
-		again := n < sc.Clients.Retries
-		switch t.Ending {
-		case Satisfied, Partial:
-			again = false
-		case Nacked, Refused: // asking again is harmless
-		default:
-			again = again && o.ix.Effect == "idempotent"
-		}
-		again = again && time.Now().Add(wait).Before(until.Add(-10*time.Millisecond))
-		earned += t.Value
-		fr.note(o, t)
-		if !again {
-			break
+// Play sends the scenario's load for a while and waits until all operations have ended.
+func (f *Front) Play(ctx context.Context, length time.Duration) {
+	defer f.operations.Wait()
+	f.mu.Lock()
+	if f.startedAt.IsZero() {
+		f.startedAt = time.Now()
+	}
+	f.mu.Unlock()
+	startedAt := time.Now()
+	next := startedAt
+	for {
+		pause, o := f.drawNext()
+		next = next.Add(pause)
+		if next.Sub(startedAt) > length {
+			return
 		}
 		select {
-		case <-time.After(wait):
-		case <-fr.ctx.Done():
+		case <-ctx.Done():
 			return
+		case <-time.After(time.Until(next)):
 		}
-	}
-	fr.mu.Lock()
-	defer fr.mu.Unlock()
-	of := fr.total.Of(o.ix.Name)
-	of.Operations++
-	of.Asked += o.ix.Gain
-	of.Value += earned
-	fr.events.add(int(began.Sub(fr.began).Seconds()), o.ix.Gain, earned)
-}
-
-func (fr *Front) note(o *operation, t Try) {
-	fr.mu.Lock()
-	defer fr.mu.Unlock()
-	of := fr.total.Of(o.ix.Name)
-	of.Tries++
-	of.Endings[t.Ending]++
-	if t.Ending == Satisfied || t.Ending == Partial {
-		of.Took.RecordValue(t.Took.Microseconds())
+		f.operations.Go(func() { f.run(o) })
 	}
 }
 
-// try asks once; wait is for how long to wait before the next try.
-func (fr *Front) try(o *operation, n int, first, until time.Time) (t Try, wait time.Duration) {
-	sc := fr.f.Scenario
-	t = Try{Name: fmt.Sprintf("%s-%d", o.name, n), Index: o.ix.Name, Began: time.Now(), Ending: Refused}
-	wait = time.Duration(sc.Clients.Wait * 1e6)
-	p := fr.choose(o.hall, o.chance.Float64())
-	if p == nil {
-		return t, wait
-	}
-	left := min(time.Until(until), time.Duration(o.ix.Hard*o.patience*1e6))
-	ctx, cancel := context.WithTimeout(fr.ctx, left)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.base+"/"+o.ix.Name, strings.NewReader(experiment.Body(o.first, o.parts, sc.Layout.Shards, o.name)))
-	if err != nil {
-		fr.f.fault(err)
-		return t, wait
-	}
-	req.GetBody = nil // the transport must not send it again by itself: the front's tries are told apart by name
-	req.Header.Set("X-Request-ID", t.Name)
-	req.Header.Set("X-Timeout-Ms", strconv.Itoa(max(int(left.Milliseconds()), 1)))
-	if n > 0 {
-		req.Header.Set("X-Retried", "1")
-	}
-	resp, err := p.client.Do(req)
-	if err != nil {
-		t.Took, t.Ending = time.Since(t.Began), Lost
-		defer func() {
-			if t.Ending == Lost {
-				fr.f.Say("lost at %s after %v: %s: %v", p.g.Name, t.Took.Round(time.Millisecond), t.Name, err)
-			}
-		}()
-		var op *net.OpError
-		// Refused before anything was sent. A reset may have come after the request was read.
-		if errors.As(err, &op) && op.Op == "dial" || errors.Is(err, syscall.ECONNREFUSED) {
-			t.Ending = Refused
-			wait = min(wait, 20*time.Millisecond)
-		}
-		return t, wait
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	t.Took = time.Since(t.Began)
-	var answer struct {
-		Complete bool
-		Hits     []struct{ Shard int }
-	}
-	switch {
-	case err != nil:
-		t.Ending = Lost
-		fr.f.Say("lost at %s after %v, in its answer: %s: %v", p.g.Name, t.Took.Round(time.Millisecond), t.Name, err)
-	case resp.StatusCode == http.StatusOK && json.Unmarshal(text, &answer) == nil:
-		t.Ending = Satisfied
-		t.Value = o.ix.Gain
-		if !answer.Complete {
-			t.Ending = Partial
-			t.Value *= o.ix.Partial * min(float64(len(answer.Hits))/float64(o.parts)/o.ix.Need, 1)
-		}
-		if time.Since(first) > time.Duration(o.ix.Soft*1e6) {
-			t.Value *= o.ix.Late
-		}
-	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
-		t.Ending = Nacked
-		if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
-			wait = time.Duration(s * 1e9)
-		}
-	default:
-		t.Ending = Failed
-	}
-	return t, wait
+// drawNext draws the next operation and the pause before it.
+func (f *Front) drawNext() (pause time.Duration, o *operation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seconds := -math.Log(1-f.chance.Float64()) / f.fleet.Scenario.Clients.Rate
+	f.drawn++
+	return time.Duration(seconds * float64(time.Second)), f.draw(f.drawn)
 }
--- a/internal/testbed/processtest/gatherer.go
+++ b/internal/testbed/processtest/gatherer.go
@@ -37,6 +37,7 @@
 	traces     []*traceFile
 	processes  []*process.Process
 	struck     map[*Fault]*process.Process // by faults; the process of each
+	lastStrike strike                      // the newest of them
 	restarts   sync.Mutex                  // held while a fault starts a process
 	agent      net.Listener
 	portHolder net.Listener // something else on its port
--- a/internal/testbed/processtest/result.go
+++ b/internal/testbed/processtest/result.go
@@ -35,6 +35,7 @@
 	Series  *Series                  `json:"series"`
 	Uses    map[string]process.Usage `json:"uses"`
 	Rules   *rulecheck.JoinedReport  `json:"rules"`
+	Lost    []LostTry                `json:"lost,omitempty"`   // tries that the platform would count as lost
 	Faults  string                   `json:"faults,omitempty"` // of processes and of the rig
 }
 
@@ -58,8 +59,11 @@
 		r.Faults = err.Error()
 	}
 	var err error
-	r.Rules, err = f.Check()
-	return r, err
+	if r.Rules, err = f.Check(); err != nil {
+		return r, err
+	}
+	r.Lost = f.Front.LostTries()
+	return r, nil
 }
 
 // Save puts results into a folder.
@@ -95,8 +99,8 @@
 func (r *Result) Lines() (lines []string) {
 	for _, name := range slices.Sorted(maps.Keys(r.Indexes)) {
 		t := r.Indexes[name]
-		lines = append(lines, fmt.Sprintf("%-10s %5d operations, %5d tries: %d satisfied, %d in part, %d nacked, %d failed, %d lost, %d unreached; earned %.1f%%; p99 %.0f ms", name, t.Operations, t.Tries,
-			t.Endings[Satisfied], t.Endings[Partial], t.Endings[Nacked], t.Endings[Failed], t.Endings[Lost], t.Endings[Refused], 100*t.Value/max(t.Asked, 1e-9), float64(r.P99[name])/1000))
+		lines = append(lines, fmt.Sprintf("%-10s %5d operations, %5d tries: %d satisfied, %d in part, %d nacked, %d failed, %d late, %d lost, %d unreached; earned %.1f%%; p99 %.0f ms", name, t.Operations, t.Tries,
+			t.Endings[Satisfied], t.Endings[Partial], t.Endings[Nacked], t.Endings[Failed], t.Endings[Late], t.Endings[Lost], t.Endings[Refused], 100*t.Value/max(t.Asked, 1e-9), float64(r.P99[name])/1000))
 	}
 	if j := r.Rules; j != nil {
 		lines = append(lines, fmt.Sprintf("joined traces: %d lookups, %d part calls, %d processes killed", j.Queries, j.Attempts, j.KilledProcesses))
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,7 +27,8 @@
 type Result struct {
 	Day        *Day
 	Operations int
-	Lost       int // tries that the platform would count as lost
+	Late       int                   // tries that were answered so late that they only earn nothing
+	Lost       []processtest.LostTry // tries that the platform would count as lost
 	Err        error
 	Took       time.Duration
 	Folder     string // what is kept of a day that failed
@@ -62,6 +66,7 @@
 	}
 	r.Err = r.play(ctx, fleet, o)
 	result, err := fleet.Finish()
+	r.Lost = result.Lost
 	r.Err = errors.Join(r.Err, err, r.judge(fleet, result))
 	if r.Err == nil {
 		r.Err = os.RemoveAll(r.Folder)
@@ -95,7 +100,7 @@
 	stop()
 	disturbers.Wait()
 	r.Operations = f.Front.Total().Operations
-	r.Lost = f.Front.Total().Endings[processtest.Lost]
+	r.Late = f.Front.Total().Endings[processtest.Late]
 	if err := errors.Join(ctx.Err(), policyErr, rolloutErr); err != nil {
 		return err
 	}
@@ -114,13 +119,13 @@
 	f.Front.Play(ctx, checkTime)
 	after := f.Front.Total()
 	count := func(e processtest.Ending) int { return after.Endings[e] - before.Endings[e] }
-	bad := count(processtest.Lost) + count(processtest.Failed) + count(processtest.Refused)
+	bad := count(processtest.Lost) + count(processtest.Late) + count(processtest.Failed) + count(processtest.Refused)
 	operations := after.Operations - before.Operations
 	served := count(processtest.Satisfied) + count(processtest.Partial)
 	if bad > 0 || float64(served) < servedShare*float64(operations) {
-		return fmt.Errorf("%v after the last fault %d of %d operations are served, %d rejected, %d failed, %d lost, "+
-			"%d unreached", recoveryTime, served, operations, count(processtest.Nacked), count(processtest.Failed),
-			count(processtest.Lost), count(processtest.Refused))
+		return fmt.Errorf("%v after the last fault %d of %d operations are served, %d rejected, %d failed, "+
+			"%d late, %d lost, %d unreached", recoveryTime, served, operations, count(processtest.Nacked),
+			count(processtest.Failed), count(processtest.Late), count(processtest.Lost), count(processtest.Refused))
 	}
 	return nil
 }
@@ -138,8 +143,26 @@
 		errs = append(errs, fmt.Errorf("a gatherer was ready %.1f s after its start, %v are allowed", took.Seconds(),
 			maxStartTime))
 	}
-	if r.Day.Kind == Restarts && !r.Day.Crowd && r.Lost > 0 {
-		errs = append(errs, fmt.Errorf("%d tries lost on a day of planned restarts", r.Lost))
+	if r.Day.Kind == Restarts && !r.Day.Crowd && len(r.Lost) > 0 {
+		errs = append(errs, fmt.Errorf("%d tries lost on a day of planned restarts", len(r.Lost)))
+		for _, try := range r.Lost {
+			errs = append(errs, errors.New(try.String()))
+		}
 	}
 	return errors.Join(errs...)
 }
+
+// Tries says in a few words what became of the tries that were not answered in time.
+func (r *Result) Tries() string {
+	kinds := map[processtest.LossKind]int{}
+	for _, try := range r.Lost {
+		kinds[try.Kind]++
+	}
+	var text strings.Builder
+	fmt.Fprintf(&text, "%d tries lost", len(r.Lost))
+	for _, kind := range slices.Sorted(maps.Keys(kinds)) {
+		fmt.Fprintf(&text, " (%d: %s)", kinds[kind], kind)
+	}
+	fmt.Fprintf(&text, ", %d late", r.Late)
+	return text.String()
+}
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	options := Options{Program: program, Folder: t.TempDir(), OrderCommand: []string{os.Args[0], "order"}}
+	options := Options{Program: program, Folder: folderKeptOnFailure(t), OrderCommand: []string{os.Args[0], "order"}}
 	played := map[Kind]bool{}
 	results := parallel.Map(len(seeds), workers, func(i int) *Result {
 		return Run(t.Context(), options, seeds[i])
@@ -37,7 +37,7 @@
 		if r.Err != nil {
 			t.Errorf("%v: %.8000v", r.Day, r.Err)
 		}
-		t.Logf("%v: %d operations, %d tries lost, %v", r.Day, r.Operations, r.Lost, r.Took)
+		t.Logf("%v: %d operations, %s, %v", r.Day, r.Operations, r.Tries(), r.Took)
 		played[r.Day.Kind] = true
 	}
 	if len(played) != len(kinds) {
@@ -45,6 +45,23 @@
 	}
 }
 
+// folderKeptOnFailure returns a folder that stays where the test fails, with what is needed to understand the day.
+func folderKeptOnFailure(t *testing.T) string {
+	t.Helper()
+	folder, err := os.MkdirTemp("", "yokeroute-soak-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("kept in %s", folder)
+			return
+		}
+		os.RemoveAll(folder)
+	})
+	return folder
+}
+
 // TestDaysAreDrawnBySeed wants a seed to draw the same day each time, and the seeds of a soak all kinds of days.
 func TestDaysAreDrawnBySeed(t *testing.T) {
 	drawn := map[Kind]int{}
