Process rig: a request that crosses the close of a kept connection is sent once more

The second one has a name of its own, so that a request which the gatherer has read all the same stands in a trace under the first name; it is lost then. The soak prints how many were sent once more. Tests: TestRequestThatCrossesACloseIsSentOnceMore; TestRequestReadAndDroppedIsLost has a gatherer (the rig's worse one, fault drops) that reads and closes, and wants the losses; TestRequestOnNewConnectionIsNotSentTwice.

--- a/internal/rulecheck/join.go
+++ b/internal/rulecheck/join.go
@@ -29,6 +29,14 @@
 	GathererNames   map[int]string `json:"of"`      // by number
 	PeakBudgetUse   LimitUse       `json:"busiest"` // all gatherers' retries over what they may make together
 	UnknownRequests int            `json:"unknown"` // shard requests at servers that no trace has sent
+
+	queries map[string]uint64 // numbers by name
+}
+
+// HasQuery reports whether a trace holds a query of that name.
+func (r *JoinedReport) HasQuery(name string) bool {
+	_, known := r.queries[name]
+	return known
 }
 
 // JoinOptions are the options of Join.
--- a/internal/rulecheck/joiner.go
+++ b/internal/rulecheck/joiner.go
@@ -73,6 +73,7 @@
 	}
 	j.checker.Observe(Event{At: last, Kind: TraceEnd})
 	j.report.Report = j.checker.Finish()
+	j.report.queries = j.numbers
 	if j.report.UnknownRequests > 0 {
 		j.report.markIncomplete(fmt.Sprintf("servers took %d parts that no trace has sent", j.report.UnknownRequests))
 	}
--- a/internal/testbed/processtest/front.go
+++ b/internal/testbed/processtest/front.go
@@ -39,13 +39,15 @@
 	drawn     int
 	events    *Series
 	lost      []LostTry
+	crossed   []LostTry // sent once more
 }
 
 // frontTarget is one gatherer as the front knows it.
 type frontTarget struct {
-	gatherer *Gatherer
-	client   *http.Client
-	base     string
+	gatherer      *Gatherer
+	client        *http.Client
+	newConnClient *http.Client // which opens a connection for each request
+	base          string
 
 	mu           sync.Mutex
 	inRotation   bool
@@ -69,6 +71,7 @@
 }
 
 func newFrontTarget(g *Gatherer, address string) *frontTarget {
+	dial := (&net.Dialer{Timeout: connectTimeout}).DialContext
 	return &frontTarget{
 		gatherer:   g,
 		base:       "http://" + address,
@@ -76,8 +79,9 @@
 		client: &http.Client{Transport: &http.Transport{
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTime,
-			DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+			DialContext:         dial,
 		}},
+		newConnClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}},
 	}
 }
 
@@ -111,6 +115,14 @@
 	return slices.Clone(f.lost)
 }
 
+// CrossedTries returns the requests so far that crossed the close of a kept connection and were sent once more. Whether
+// their gatherers have read them is for the traces to tell.
+func (f *Front) CrossedTries() []LostTry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.crossed)
+}
+
 // noteLost notes a lost try.
 func (f *Front) noteLost(try *Try, target *frontTarget, r *reply) {
 	lost := f.fleet.lostTry(try, target, r.loss(), r.err)
@@ -120,6 +132,15 @@
 	f.fleet.Say("lost: %v", lost)
 }
 
+// noteCrossed notes a request that is sent once more.
+func (f *Front) noteCrossed(try *Try, target *frontTarget, r *reply) {
+	crossed := f.fleet.lostTry(try, target, r.loss(), r.err)
+	f.mu.Lock()
+	f.crossed = append(f.crossed, crossed)
+	f.mu.Unlock()
+	f.fleet.Say("sent once more: %v", crossed)
+}
+
 // watchReadiness asks a gatherer every now and then whether it is ready, as the platform's front does.
 func (f *Front) watchReadiness(target *frontTarget) {
 	tick := time.NewTicker(readinessInterval)
--- a/internal/testbed/processtest/losttry.go
+++ b/internal/testbed/processtest/losttry.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"yokeroute/internal/rulecheck"
 )
 
 // LossKind tells lost tries apart.
@@ -14,6 +16,7 @@
 	KeptConnectionBroke LossKind = "a kept connection broke"
 	AnswerBroke         LossKind = "the connection broke within the answer"
 	Unanswered          LossKind = "no answer in time"
+	ReadAndDropped      LossKind = "read, and its connection closed without an answer"
 )
 
 // LostTry is a try that the platform would count as lost.
@@ -43,3 +46,18 @@
 	lost.Fault, lost.SinceFault = target.gatherer.lastFault()
 	return lost
 }
+
+// losses returns the tries that were lost, and the requests that crossed the close of their connection. One of these
+// that a trace holds was read, and is lost although its client has sent it once more.
+func (f *Fleet) losses(traces *rulecheck.JoinedReport) (lost, crossed []LostTry) {
+	lost = f.Front.LostTries()
+	for _, try := range f.Front.CrossedTries() {
+		if traces.HasQuery(try.Name) {
+			try.Kind = ReadAndDropped
+			lost = append(lost, try)
+			continue
+		}
+		crossed = append(crossed, try)
+	}
+	return lost, crossed
+}
--- a/internal/testbed/processtest/operation.go
+++ b/internal/testbed/processtest/operation.go
@@ -104,7 +104,7 @@
 		return try, wait
 	}
 	timeout := min(time.Until(deadline), milliseconds(o.index.Hard*o.patience))
-	r := f.send(target.client, target, &request{operation: o, try: &try, repeated: number > 0, deadline: try.Began.Add(timeout)})
+	r := f.sendOrResend(target, &request{operation: o, try: &try, repeated: number > 0, deadline: try.Began.Add(timeout)})
 	try.Took = time.Since(try.Began)
 	switch {
 	case r.unreached():
--- a/internal/testbed/processtest/result.go
+++ b/internal/testbed/processtest/result.go
@@ -35,8 +35,9 @@
 	Series  *Series                  `json:"series"`
 	Uses    map[string]process.Usage `json:"uses"`
 	Rules   *rulecheck.JoinedReport  `json:"rules"`
-	Lost    []LostTry                `json:"lost,omitempty"`   // tries that the platform would count as lost
-	Faults  string                   `json:"faults,omitempty"` // of processes and of the rig
+	Lost    []LostTry                `json:"lost,omitempty"`    // tries that the platform would count as lost
+	Crossed []LostTry                `json:"crossed,omitempty"` // requests that crossed a close unread, and were sent once more
+	Faults  string                   `json:"faults,omitempty"`  // of processes and of the rig
 }
 
 // Kept reports whether every rule was kept and no process had a fault.
@@ -62,7 +63,7 @@
 	if r.Rules, err = f.Check(); err != nil {
 		return r, err
 	}
-	r.Lost = f.Front.LostTries()
+	r.Lost, r.Crossed = f.losses(r.Rules)
 	return r, nil
 }
 
--- a/internal/testbed/processtest/worse/main.go
+++ b/internal/testbed/processtest/worse/main.go
@@ -43,6 +43,8 @@
 			}
 		}
 	},
+	// It reads requests on kept connections and closes these without an answer.
+	"drops": func() {},
 	// It keeps its processors busy with nothing, more threads of it than there are, so that what it serves waits.
 	"spins": func() {
 		for range 4 * runtime.GOMAXPROCS(0) {
@@ -57,6 +59,39 @@
 	},
 }
 
+// listeners are those of faults that harm by what they do to connections.
+var listeners = map[string]func(net.Listener) net.Listener{
+	"drops": func(l net.Listener) net.Listener { return droppingListener{l} },
+}
+
+// droppingListener closes each connection in place of its second answer.
+type droppingListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l droppingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &droppingConn{Conn: c}, nil
+}
+
+// droppingConn is a connection on which one answer is written.
+type droppingConn struct {
+	net.Conn
+	answered bool
+}
+
+// Write implements net.Conn. The server writes an answer of the rig's size at once.
+func (c *droppingConn) Write(p []byte) (int, error) {
+	if c.answered {
+		c.Close()
+		return 0, net.ErrClosed
+	}
+	c.answered = true
+	return c.Conn.Write(p)
+}
+
 func main() {
 	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "worse:", err)
@@ -99,5 +134,8 @@
 		return err
 	}
 	go begin()
+	if wrap := listeners[fault]; wrap != nil {
+		listener = wrap(listener)
+	}
 	return s.Run(ctx, listener)
 }
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -28,6 +28,7 @@
 	Day        *Day
 	Operations int
 	Late       int                   // tries that were answered so late that they only earn nothing
+	Crossed    int                   // requests that crossed a close unread, and were sent once more
 	Lost       []processtest.LostTry // tries that the platform would count as lost
 	Err        error
 	Took       time.Duration
@@ -66,7 +67,7 @@
 	}
 	r.Err = r.play(ctx, fleet, o)
 	result, err := fleet.Finish()
-	r.Lost = result.Lost
+	r.Lost, r.Crossed = result.Lost, len(result.Crossed)
 	r.Err = errors.Join(r.Err, err, r.judge(fleet, result))
 	if r.Err == nil {
 		r.Err = os.RemoveAll(r.Folder)
@@ -163,6 +164,6 @@
 	for _, kind := range slices.Sorted(maps.Keys(kinds)) {
 		fmt.Fprintf(&text, " (%d: %s)", kinds[kind], kind)
 	}
-	fmt.Fprintf(&text, ", %d late", r.Late)
+	fmt.Fprintf(&text, ", %d late, %d sent once more", r.Late, r.Crossed)
 	return text.String()
 }
