Rollout: the record of a step's process holds the boot's ID

What could happen: after a reboot the record may name another process of the same ID and start tick, as ticks count from the boot. A controller that goes on then waits for that process and kills its group once the step's time is over; the built-in stepper ends it as a planned restart does. Change: the record holds the boot's ID as a third word, and one of another boot names no process. TestKeptNotesOfProcesses held the record's bytes without the boot; it holds them with it now, and that an earlier version's record is still read.

--- a/internal/control/rollout/commandstep.go
+++ b/internal/control/rollout/commandstep.go
@@ -14,8 +14,6 @@
 	"syscall"
 	"time"
 
-	"yokeroute/internal/process"
-	"yokeroute/internal/storage/atomicfile"
 	"yokeroute/logic/rollout"
 )
 
@@ -87,18 +85,17 @@
 
 // recordProcess records the process of a gatherer's step for a later controller.
 func (s commandStepper) recordProcess(g, pid int) error {
-	return writeProcessFile(s.processFile(g), pid, process.StartTicks(pid))
+	return writeProcessRecord(s.processFile(g), recordOf(pid))
 }
 
 // awaitPrevious waits for the end of a command that an earlier controller has started for the gatherer, since two at
 // once would disturb each other. One that exceeds its time is killed.
 func (s commandStepper) awaitPrevious(ctx context.Context, g int, timeout time.Duration) error {
-	pid, startTicks, ok := readProcessFile(s.processFile(g))
+	previous, ok := readProcessRecord(s.processFile(g))
 	if !ok {
 		return nil
 	}
-	running := func() bool { return process.StartTicks(pid) == startTicks }
-	return awaitEnd(ctx, running, timeout, func() { sendSignal(-pid, syscall.SIGKILL) })
+	return awaitEnd(ctx, previous.running, timeout, func() { sendSignal(-previous.pid, syscall.SIGKILL) })
 }
 
 // awaitEnd waits until a process no longer runs, and kills it after a time.
@@ -122,26 +119,6 @@
 // sendSignal sends a signal to a process or, by a negative ID, to its group. One that has ended needs none.
 func sendSignal(pid int, s syscall.Signal) { _ = syscall.Kill(pid, s) }
 
-// writeProcessFile writes which process something is: its ID, and when the kernel started it, since IDs are reused.
-func writeProcessFile(file string, pid int, startTicks string) error {
-	if err := os.MkdirAll(filepath.Dir(file), 0o755); err != nil {
-		return err
-	}
-	return atomicfile.Write(file, fmt.Appendf(nil, "%d %s\n", pid, startTicks))
-}
-
-// readProcessFile reads what writeProcessFile wrote; ok is false where there is nothing to read.
-func readProcessFile(file string) (pid int, startTicks string, ok bool) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return 0, "", false
-	}
-	if n, _ := fmt.Sscan(string(text), &pid, &startTicks); n < 2 {
-		return 0, "", false
-	}
-	return pid, startTicks, true
-}
-
 // outputTail is the end of a command's output.
 func outputTail(output []byte) string {
 	text := strings.TrimSpace(string(output))
--- a/internal/control/rollout/kept_test.go
+++ b/internal/control/rollout/kept_test.go
@@ -249,7 +249,7 @@
 	if err := (commandStepper{p}).recordProcess(1, pid); err != nil {
 		t.Fatal(err)
 	}
-	want := fmt.Sprintf("%d %s\n", pid, process.StartTicks(pid))
+	want := fmt.Sprintf("%d %s %s\n", pid, process.StartTicks(pid), process.BootID())
 	for name, text := range folderFiles(t, p.Folder) {
 		if name != "run/g1.pid" && name != "run/g2.step" || string(text) != want {
 			t.Errorf("%s: %q, want %q", name, text, want)
@@ -258,6 +258,13 @@
 	if n := len(folderFiles(t, p.Folder)); n != 2 || (processStepper{p}).runningPID(0) != pid {
 		t.Errorf("%d files, process %d", n, (processStepper{p}).runningPID(0))
 	}
+	earlier := fmt.Sprintf("%d %s\n", pid, process.StartTicks(pid)) // of versions that did not note the boot
+	if err := os.WriteFile((processStepper{p}).pidFile(0), []byte(earlier), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if found := (processStepper{p}).runningPID(0); found != pid {
+		t.Errorf("by an earlier version's note: process %d", found)
+	}
 }
 
 // TestRequestsKeepTheirBytes: what a controller asks of gatherers is byte for byte what it was.
--- a/internal/control/rollout/processstep.go
+++ b/internal/control/rollout/processstep.go
@@ -72,8 +72,8 @@
 
 // runningPID is the ID of a gatherer's process, 0 where none runs.
 func (s processStepper) runningPID(g int) int {
-	if pid, startTicks, ok := readProcessFile(s.pidFile(g)); ok && process.StartTicks(pid) == startTicks {
-		return pid
+	if recorded, ok := readProcessRecord(s.pidFile(g)); ok && recorded.running() {
+		return recorded.pid
 	}
 	return findProcess(s.plan.Processes[g].ConfigFile)
 }
@@ -117,11 +117,11 @@
 
 // adopt records a process that serves already.
 func (s processStepper) adopt(g, pid int) error {
-	startTicks := process.StartTicks(pid)
-	if startTicks == "" {
+	record := recordOf(pid)
+	if record.startTicks == "" {
 		return fmt.Errorf("gatherer %s: no process %d", s.plan.Gatherers[g].Name, pid)
 	}
-	return writeProcessFile(s.pidFile(g), pid, startTicks)
+	return writeProcessRecord(s.pidFile(g), record)
 }
 
 // terminate ends a process as a planned restart does, and waits for its end: it shares an address and a state folder
--- a/internal/process/procfs.go
+++ b/internal/process/procfs.go
@@ -99,6 +99,15 @@
 	return 0
 }
 
+// BootID returns what the kernel calls this boot, empty where it does not tell.
+func BootID() string {
+	text, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(text))
+}
+
 // StartTicks returns when a process started, in the kernel's clock ticks, which tells it apart from a later one of the
 // same number. It is empty where there is no such process or it has ended.
 func StartTicks(pid int) string {
