--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -114,6 +114,9 @@
 	}
 }
 
+// HasEnded reports whether it has ended for the kernel, which is before it is not Alive.
+func (p *Process) HasEnded() bool { return !p.Alive() || State(p.PID()) == 'Z' }
+
 // Err returns how it ended, nil for status 0 and while it runs.
 func (p *Process) Err() error {
 	p.mu.Lock()
--- a/internal/testbed/processtest/faults.go
+++ b/internal/testbed/processtest/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"slices"
 	"sync"
@@ -261,6 +262,15 @@
 	at   time.Time
 }
 
+// LastFault says which fault has struck the gatherer last, and how long ago.
+func (g *Gatherer) LastFault() string {
+	kind, since := g.lastFault()
+	if kind == "" {
+		return "no fault before"
+	}
+	return fmt.Sprintf("%.2f s after %s", since.Seconds(), kind)
+}
+
 // lastFault returns the kind of the last fault that has struck the gatherer, and how long ago; no kind for none.
 func (g *Gatherer) lastFault() (kind string, since time.Duration) {
 	g.mu.Lock()
--- a/internal/testbed/processtest/fleet.go
+++ b/internal/testbed/processtest/fleet.go
@@ -127,7 +127,7 @@
 		if g.agent, err = net.Listen("tcp", f.base+".2:0"); err != nil {
 			return nil, err
 		}
-		f.Discovery.ServeView(g.agent, g.entry)
+		g.agentView = f.Discovery.ServeView(g.agent, g.entry)
 		if _, err := f.link(g.Name, "discovery", g.agent.Addr().String()); err != nil {
 			return nil, err
 		}
--- a/internal/testbed/processtest/front.go
+++ b/internal/testbed/processtest/front.go
@@ -37,6 +37,7 @@
 	total     Tallies
 	startedAt time.Time
 	drawn     int
+	habits    ClientHabits
 	events    *Series
 	lost      []LostTry
 	crossed   []LostTry // sent once more
@@ -48,6 +49,7 @@
 	client        *http.Client
 	newConnClient *http.Client // which opens a connection for each request
 	base          string
+	starvation    starvation
 
 	mu           sync.Mutex
 	inRotation   bool
@@ -108,6 +110,13 @@
 // Series is the load over time; it is for reading once the load has ended.
 func (f *Front) Series() *Series { return f.events }
 
+// SetHabits sets the clients' habits from the next operation on.
+func (f *Front) SetHabits(h ClientHabits) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.habits = h
+}
+
 // LostTries returns the tries that were lost so far.
 func (f *Front) LostTries() []LostTry {
 	f.mu.Lock()
@@ -152,6 +161,7 @@
 			return
 		case <-tick.C:
 		}
+		target.starvation.sample(target.gatherer.Process())
 		target.noteReadiness(target.isReady(f.ctx), notice)
 	}
 }
--- a/internal/testbed/processtest/gatherer.go
+++ b/internal/testbed/processtest/gatherer.go
@@ -7,7 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
+	"net/http"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -15,6 +15,7 @@
 	"time"
 
 	"yokeroute/internal/process"
+	"yokeroute/internal/storage/atomicfile"
 	"yokeroute/internal/testbed/experiment"
 	"yokeroute/internal/testbed/standin/discoveryserver"
 )
@@ -39,7 +40,9 @@
 	struck     map[*Fault]*process.Process // by faults; the process of each
 	lastStrike strike                      // the newest of them
 	restarts   sync.Mutex                  // held while a fault starts a process
-	agent      net.Listener
+	agent      net.Listener                // of its view of discovery
+	agentView  *http.Server
+	discovery  string       // what its files call discovery, the link to its first agent unless told
 	portHolder net.Listener // something else on its port
 	backup     string       // its state folder as it was at its process' own start
 }
@@ -48,6 +51,8 @@
 func (g *Gatherer) close() {
 	g.fleet.end(g.Process())
 	g.Free()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if g.agent != nil {
 		g.agent.Close()
 	}
@@ -76,7 +81,8 @@
 func (g *Gatherer) write() error {
 	f := g.fleet
 	own := f.Scenario.settings(g.Number-1, g.Hall)
-	config := map[string]any{"name": g.Name, "listen": g.Address, "discovery": f.Link(g.Name + ":discovery").Address(), "seed": fmt.Sprintf("%x", f.Scenario.Seed*1000+uint64(g.Number)*100+uint64(g.started)),
+	discovery := cmp.Or(g.discovery, f.Link(g.Name+":discovery").Address())
+	config := map[string]any{"name": g.Name, "listen": g.Address, "discovery": discovery, "seed": fmt.Sprintf("%x", f.Scenario.Seed*1000+uint64(g.Number)*100+uint64(g.started)),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": cmp.Or(f.terms.MemoryMB, 192), "sockets": 1024}, "settings": own}
 	if g.Known != "" {
 		config["known"] = json.RawMessage(g.Known)
@@ -99,7 +105,8 @@
 	}
 	operator.WriteString(governed)
 	operator.WriteString(f.terms.Operator + "\n" + g.Operator + "\n")
-	return errors.Join(os.WriteFile(g.ConfigFile(), text, 0o644), os.WriteFile(g.OperatorFile(), []byte(operator.String()), 0o644))
+	// A process may be reading them.
+	return errors.Join(atomicfile.Write(g.ConfigFile(), text), atomicfile.Write(g.OperatorFile(), []byte(operator.String())))
 }
 
 // Start starts a process of it and waits until it is ready.
@@ -162,6 +169,9 @@
 
 func (g *Gatherer) answers() bool { return experiment.IsReady(g.Address) }
 
+// IsReady reports whether it takes lookups.
+func (g *Gatherer) IsReady() bool { return g.Serves() && g.answers() }
+
 // Serves reports whether its newest process runs and is not stopped.
 func (g *Gatherer) Serves() bool {
 	p := g.Process()
--- a/internal/testbed/processtest/losttry.go
+++ b/internal/testbed/processtest/losttry.go
@@ -27,6 +27,7 @@
 	Took       time.Duration `json:"took"`
 	Fault      string        `json:"fault,omitempty"` // the last one that struck its gatherer
 	SinceFault time.Duration `json:"since,omitempty"`
+	Starved    time.Duration `json:"starved"` // for which threads of its gatherer waited for a processor meanwhile
 	Error      string        `json:"error"`
 }
 
@@ -35,14 +36,16 @@
 	if l.Fault != "" {
 		since = fmt.Sprintf("%.2f s after %s", l.SinceFault.Seconds(), l.Fault)
 	}
-	return fmt.Sprintf("%s at %s, %s, after %v: %s: %s", l.Name, l.Gatherer, since, l.Took.Round(time.Millisecond),
-		l.Kind, l.Error)
+	return fmt.Sprintf("%s at %s, %s, after %v, of which its threads waited %v for a processor: %s: %s", l.Name, l.Gatherer,
+		since, l.Took.Round(time.Millisecond), l.Starved.Round(time.Millisecond), l.Kind, l.Error)
 }
 
 // lostTry describes a try that ends now.
 func (f *Fleet) lostTry(try *Try, target *frontTarget, kind LossKind, err error) LostTry {
 	lost := LostTry{Name: try.Name, Kind: kind, Gatherer: target.gatherer.Name, Took: time.Since(try.Began),
 		Error: err.Error()}
+	target.starvation.sample(target.gatherer.Process())
+	lost.Starved = target.starvation.since(try.Began)
 	lost.Fault, lost.SinceFault = target.gatherer.lastFault()
 	return lost
 }
--- a/internal/testbed/processtest/operation.go
+++ b/internal/testbed/processtest/operation.go
@@ -26,6 +26,8 @@
 	first    int
 	parts    int
 	patience float64
+	leaving  time.Duration // after which its client goes; zero for one that stays
+	hurry    time.Duration // the most that its client gives a try; zero for the usual time
 	chance   *pcg.Source
 }
 
@@ -47,6 +49,7 @@
 	o.first = int(f.chance.Float64() * float64(scenario.Layout.Shards))
 	o.hall = scenario.Halls[int(f.chance.Float64()*float64(len(scenario.Halls)))]
 	o.patience = scenario.Clients.Patience + (1-scenario.Clients.Patience)*f.chance.Float64()
+	f.habits.draw(o, pcg.New(scenario.Seed^uint64(number)<<habitShift))
 	return o
 }
 
@@ -80,7 +83,7 @@
 // mayRepeat reports whether a client tries again.
 func (o *operation) mayRepeat(try *Try, number, retries int) bool {
 	switch try.Ending {
-	case Satisfied, Partial:
+	case Satisfied, Partial, Left:
 		return false
 	case Nacked, Refused: // harmless
 		return number < retries
@@ -104,11 +107,17 @@
 		return try, wait
 	}
 	timeout := min(time.Until(deadline), milliseconds(o.index.Hard*o.patience))
+	if o.hurry > 0 {
+		timeout = min(timeout, o.hurry)
+	}
 	r := f.sendOrResend(target, &request{operation: o, try: &try, repeated: number > 0, deadline: try.Began.Add(timeout)})
 	try.Took = time.Since(try.Began)
 	switch {
 	case r.unreached():
 		return try, min(wait, unreachedWait)
+	case r.abandoned():
+		try.Ending = Left
+		return try, wait
 	case r.err != nil:
 		try.Ending = Lost
 		f.noteLost(&try, target, r)
--- a/internal/testbed/processtest/request.go
+++ b/internal/testbed/processtest/request.go
@@ -53,10 +53,13 @@
 // timedOut reports whether the client has given up.
 func (r *reply) timedOut() bool { return errors.Is(r.err, context.DeadlineExceeded) }
 
+// abandoned reports whether the client has gone.
+func (r *reply) abandoned() bool { return errors.Is(r.err, context.Canceled) }
+
 // crossed reports whether a kept connection ended before a byte of the answer, as where its gatherer has closed it
 // between requests.
 func (r *reply) crossed() bool {
-	return r.err != nil && r.reused && !r.begun.Load() && !r.timedOut() && !errors.Is(r.err, context.Canceled)
+	return r.err != nil && r.reused && !r.begun.Load() && !r.timedOut() && !r.abandoned()
 }
 
 // loss is the kind of loss where the request is lost.
@@ -89,6 +92,9 @@
 	r := &reply{}
 	ctx, cancel := context.WithDeadline(f.ctx, q.deadline.Add(lateAnswerTime))
 	defer cancel()
+	if q.operation.leaving > 0 {
+		defer time.AfterFunc(q.operation.leaving, cancel).Stop()
+	}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:              func(info httptrace.GotConnInfo) { r.reused = info.Reused },
 		GotFirstResponseByte: func() { r.begun.Store(true) },
--- a/internal/testbed/processtest/restarts.go
+++ b/internal/testbed/processtest/restarts.go
@@ -39,16 +39,10 @@
 	select {
 	case <-p.Exited():
 	case <-time.After(delay):
-		heldUp := p.Sent(syscall.SIGSTOP)
-		description := ""
-		if !heldUp {
-			description = p.DescribeHang()
+		if !p.HasEnded() {
+			return killAfter(p, delay)
 		}
-		p.Kill()
-		if !heldUp {
-			return fmt.Errorf("%s has not ended %v after SIGTERM; %s", p.Name, delay, description)
-		}
-		return nil
+		<-p.Exited()
 	}
 	if err := p.Err(); err != nil && !p.Sent(syscall.SIGKILL) && !EndedBeforeItBegan(p) {
 		return fmt.Errorf("%s ended after SIGTERM with %w: %.2000s", p.Name, err, p.Log())
@@ -56,6 +50,15 @@
 	return nil
 }
 
+// killAfter kills a process that has not ended in time. Unless it was held up that is its fault.
+func killAfter(p *process.Process, delay time.Duration) error {
+	defer p.Kill()
+	if p.Sent(syscall.SIGSTOP) {
+		return nil
+	}
+	return fmt.Errorf("%s has not ended %v after SIGTERM; %s", p.Name, delay, p.DescribeHang())
+}
+
 // EndedBeforeItBegan reports whether SIGTERM ended a process by its default action, as the process had not run far
 // enough to catch it. Such a one has opened nothing, and logged nothing.
 func EndedBeforeItBegan(p *process.Process) bool {
--- a/internal/testbed/processtest/tally.go
+++ b/internal/testbed/processtest/tally.go
@@ -20,6 +20,7 @@
 	Failed    Ending = "failed" // aborted, or any other answer
 	Late      Ending = "late"   // answered after the client's time, and no later than lateAnswerTime behind it
 	Lost      Ending = "lost"   // the connection broke, or no answer came in time or lateAnswerTime behind it
+	Left      Ending = "left"   // its client has gone
 	Refused   Ending = "unreached"
 )
 
--- a/internal/testbed/soak/crowd.go
+++ b/internal/testbed/soak/crowd.go
@@ -15,7 +15,7 @@
 )
 
 // crowd opens connections to a gatherer that send nothing, and holds them until ctx ends.
-func crowd(ctx context.Context, g *processtest.Gatherer) {
+func crowd(ctx context.Context, g *processtest.Gatherer) error {
 	var conns []net.Conn
 	defer func() {
 		for _, conn := range conns {
@@ -29,9 +29,10 @@
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-time.After(crowdInterval):
 		}
 	}
 	<-ctx.Done()
+	return nil
 }
--- a/internal/testbed/soak/days.go
+++ b/internal/testbed/soak/days.go
@@ -32,6 +32,7 @@
 	Seed     uint64
 	Kind     Kind
 	Crowd    bool
+	Extras   Extras
 	Scenario *processtest.Scenario
 }
 
@@ -81,6 +82,7 @@
 		text.WriteString(noticeText)
 	}
 	text.WriteString(faultTexts[d.Kind])
+	d.Extras = drawExtras(seed, d.Kind, d.Crowd)
 	var err error
 	d.Scenario, err = processtest.Parse("soak", text.String(), seed)
 	return d, err
@@ -92,5 +94,5 @@
 	if d.Crowd {
 		crowd = ", a crowd"
 	}
-	return fmt.Sprintf("seed %d (%s%s)", d.Seed, d.Kind, crowd)
+	return fmt.Sprintf("seed %d (%s%s%s)", d.Seed, d.Kind, crowd, d.Extras)
 }
--- a/internal/testbed/soak/extras.go
+++ b/internal/testbed/soak/extras.go
@@ -6,6 +6,7 @@
 type Extras struct {
 	Reconfigured bool // gatherers get new files and SIGHUP, twice in a row, and discovery moves by them
 	Habits       bool // some clients leave while their request waits, others give it very little time
+	Exclusive    bool // the changes of policies are between two that exclude each other
 	Resting      bool // clients rest until the gatherer ends their connection
 }
 
@@ -22,9 +23,11 @@
 		Reconfigured: random.Uint32()%2 == 0,
 		Habits:       random.Uint32()%2 == 0,
 		Resting:      random.Uint32()%2 == 0,
+		Exclusive:    random.Uint32()%2 == 0,
 	}
 	e.Reconfigured = e.Reconfigured && kind != Rollouts
 	e.Resting = e.Resting && kind == Restarts && !crowd
+	e.Exclusive = e.Exclusive && kind == Policies
 	return e
 }
 
@@ -37,6 +40,9 @@
 	if e.Habits {
 		text += ", hasty clients"
 	}
+	if e.Exclusive {
+		text += ", policies that exclude each other"
+	}
 	if e.Resting {
 		text += ", resting clients"
 	}
--- a/internal/testbed/soak/policies.go
+++ b/internal/testbed/soak/policies.go
@@ -108,12 +108,16 @@
 	return nil
 }
 
+// proposer proposes the n-th change of a day.
+type proposer func(ctx context.Context, f *processtest.Fleet, n int) (*policy.Change, error)
+
 // proposeChanges proposes one change after another until ctx ends, whatever becomes of them.
-func proposeChanges(ctx context.Context, f *processtest.Fleet) {
+func proposeChanges(ctx context.Context, f *processtest.Fleet, propose proposer) error {
 	for n := 1; ctx.Err() == nil; n++ {
 		_, _ = propose(ctx, f, n) // there may be no leader
 		wait(ctx, proposalInterval)
 	}
+	return nil
 }
 
 // propose proposes a change of a server's weight.
@@ -148,8 +152,14 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", err, last)
 	}
+	return awaitApplied(ctx, f, change)
+}
+
+// awaitApplied waits until all gatherers apply a change, or a later one.
+func awaitApplied(ctx context.Context, f *processtest.Fleet, change *policy.Change) error {
+	var last error
 	var status *policyapi.Status
-	err = process.WaitUntil(ctx, "all gatherers apply the change", func() bool {
+	err := process.WaitUntil(ctx, "all gatherers apply the change", func() bool {
 		status, last = f.PolicyClient().Status(ctx)
 		return last == nil && status.AppliedEverywhere && status.Record.Epoch >= change.Number
 	})
--- a/internal/testbed/soak/reports.go
+++ b/internal/testbed/soak/reports.go
@@ -23,6 +23,8 @@
 // reportClient leaves no connection behind, which would count as a descriptor of the gatherer.
 var reportClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
+func unixMilliseconds() float64 { return float64(time.Now().UnixMicro()) / 1000 }
+
 // readReport reads what a gatherer reports.
 func readReport(ctx context.Context, g *processtest.Gatherer) (*report.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/internal/testbed/soak/resources.go
+++ b/internal/testbed/soak/resources.go
@@ -29,10 +29,11 @@
 // resources are what a gatherer's process holds beside its connections to shard servers, which it keeps for later queries.
 type resources struct {
 	descriptors, goroutines int
+	open                    []string // what all of its descriptors are
 }
 
 func (r resources) String() string {
-	return fmt.Sprintf("%d descriptors and %d goroutines", r.descriptors, r.goroutines)
+	return fmt.Sprintf("%d descriptors and %d goroutines %v", r.descriptors, r.goroutines, r.open)
 }
 
 // resourcesOf reads what a gatherer holds.
@@ -41,16 +42,44 @@
 	if err != nil {
 		return resources{}, err
 	}
-	open, err := os.ReadDir(filepath.Join("/proc", strconv.Itoa(g.Process().PID()), "fd"))
+	open, err := openDescriptors(g)
 	if err != nil {
 		return resources{}, err
 	}
 	return resources{
+		open:        open,
 		descriptors: len(open) - descriptorsPerConnection*d.OpenConnections,
 		goroutines:  d.Goroutines - goroutinesPerConnection*d.OpenConnections,
 	}, nil
 }
 
+// openDescriptors lists the descriptors of a gatherer by what they are, without the connections of those who read its
+// reports: that of readReport may not be closed yet.
+func openDescriptors(g *processtest.Gatherer) ([]string, error) {
+	folder := filepath.Join("/proc", strconv.Itoa(g.Process().PID()), "fd")
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, err
+	}
+	sockets := process.TCPSockets()
+	var open []string
+	for _, entry := range entries {
+		target, err := os.Readlink(filepath.Join(folder, entry.Name()))
+		if err != nil { // closed since
+			continue
+		}
+		socket, isTCP := sockets[target]
+		if isTCP && socket.Local == g.Reports && !socket.Listening() {
+			continue
+		}
+		if isTCP {
+			target = socket.String()
+		}
+		open = append(open, target)
+	}
+	return open, nil
+}
+
 // resourcesBefore reads what each gatherer of a fleet holds before its first load.
 func resourcesBefore(ctx context.Context, f *processtest.Fleet) (map[string]resources, error) {
 	wait(ctx, firstChecks)
@@ -91,6 +120,9 @@
 		return len(excess) == 0
 	})
 	if err != nil {
+		for _, g := range f.Gatherers { // its goroutines go to its log
+			g.Process().DescribeHang()
+		}
 		return fmt.Errorf("%w: %s", err, strings.Join(last, "; "))
 	}
 	return nil
--- a/internal/testbed/soak/restingclients.go
+++ b/internal/testbed/soak/restingclients.go
@@ -59,7 +59,8 @@
 	}
 	req.Header.Set("X-Request-ID", name)
 	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(restingQuery.Milliseconds(), 10))
-	if err := req.Write(conn); err == nil {
+	err = req.Write(conn)
+	if err == nil {
 		_, err = io.Copy(io.Discard, conn)
 	}
 	if ctx.Err() == nil && errors.Is(err, syscall.ECONNRESET) {
--- a/internal/testbed/soak/rollouts.go
+++ b/internal/testbed/soak/rollouts.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"yokeroute/internal/control/rollout"
 	"yokeroute/internal/pcg"
 	"yokeroute/internal/process"
 	"yokeroute/internal/testbed/processtest"
@@ -51,6 +50,9 @@
 	random  *pcg.Source
 	plan    string // file
 
+	takeOvers *pcg.Source      // whether a controller that is stopped is taken over from
+	running   *process.Process // the controller that has taken over, nil for none
+
 	mu       sync.Mutex
 	underWay map[string]bool // gatherers with a step under way
 	steps    int
@@ -62,7 +64,7 @@
 	ctx, cancel := context.WithTimeout(ctx, rolloutTimeout)
 	defer cancel()
 	d := &rolloutDay{fleet: f, program: o.Program, order: o.OrderCommand, folder: folder,
-		random: pcg.New(seed ^ 0x2011), underWay: map[string]bool{}}
+		random: pcg.New(seed ^ 0x2011), takeOvers: pcg.New(seed ^ 0x7a6e), underWay: map[string]bool{}}
 	steps, err := f.TakeSteps(d.step)
 	if err != nil {
 		return err
@@ -71,17 +73,9 @@
 	if err := d.writePlan(steps.URL()); err != nil {
 		return err
 	}
-	disturbed := 0
-	for {
-		last := disturbed == maxControllerFaults
-		ended, err := d.runController(ctx, disturbed, last)
-		if err != nil {
-			return errors.Join(append(d.faults, err)...)
-		}
-		if ended {
-			break
-		}
-		disturbed++
+	disturbed, err := d.runControllers(ctx)
+	if err != nil {
+		return errors.Join(append(d.faults, err)...)
 	}
 	f.Say("the rollout has taken %d steps and %d controllers", d.steps, disturbed+1)
 	if least := len(f.Gatherers); d.steps < least || d.steps > least+disturbed {
@@ -161,43 +155,3 @@
 	d.plan = filepath.Join(d.folder, rolloutName+".conf")
 	return os.WriteFile(d.plan, []byte(plan.String()), 0o644)
 }
-
-// runController runs a controller, which is killed or stopped unless it is the last one. It reports whether the rollout
-// has been completed.
-func (d *rolloutDay) runController(ctx context.Context, number int, last bool) (ended bool, err error) {
-	p, err := process.Start(fmt.Sprint("controller.", number+1), d.program, []string{"rollout", "run", d.plan}, nil)
-	if err != nil {
-		return false, err
-	}
-	p.ExpectExit()
-	defer p.Kill()
-	if !last {
-		wait(ctx, minControllerRun+time.Duration(d.random.Float64()*float64(maxControllerRun-minControllerRun)))
-		if d.random.Uint32()%2 == 0 && p.Alive() {
-			d.fleet.Say("controller %d: kill", number+1)
-			p.Kill()
-			return false, nil
-		}
-		if err := p.Stop(ctx); err == nil {
-			d.fleet.Say("controller %d: stop for %v", number+1, controllerStopTime)
-			wait(ctx, controllerStopTime)
-			_ = p.Continue() // it may have ended
-		}
-		wait(ctx, controllerStopTime)
-		if p.Alive() {
-			p.Kill()
-			return false, nil
-		}
-	}
-	if err := p.Wait(ctx); err != nil {
-		return false, fmt.Errorf("%w: %.4000s", err, p.Log())
-	}
-	if p.Err() != nil {
-		return false, fmt.Errorf("%s ended with %w: %.4000s", p.Name, p.Err(), p.Log())
-	}
-	status, err := rollout.ReadStatus(filepath.Join(d.folder, rolloutName))
-	if err == nil && status.Phase != logic.Completed {
-		err = fmt.Errorf("the rollout has ended as %s: %s", status.Phase, status.Reason)
-	}
-	return true, err
-}
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -33,6 +33,8 @@
 	Err        error
 	Took       time.Duration
 	Folder     string // what is kept of a day that failed
+
+	exclusive *exclusiveDay // nil for a day without policies that exclude each other
 }
 
 // Options are what a soak is played with.
@@ -60,6 +62,9 @@
 	if r.Day.Kind == Policies {
 		terms.Policy = policyConfig
 	}
+	if r.Day.Extras.Exclusive {
+		terms.Policy.Fallback = exclusiveFallback
+	}
 	fleet, err := processtest.StartFleet(ctx, r.Day.Scenario, terms)
 	if err != nil {
 		r.Err = err
@@ -69,6 +74,9 @@
 	result, err := fleet.Finish()
 	r.Lost, r.Crossed = result.Lost, len(result.Crossed)
 	r.Err = errors.Join(r.Err, err, r.judge(fleet, result))
+	if r.exclusive != nil && r.exclusive.until > 0 {
+		r.Err = errors.Join(r.Err, r.exclusive.check())
+	}
 	if r.Err == nil {
 		r.Err = os.RemoveAll(r.Folder)
 		return r
@@ -82,40 +90,86 @@
 
 // play plays the day, and checks that the fleet serves all again after it.
 func (r *Result) play(ctx context.Context, f *processtest.Fleet, o Options) error {
-	var disturbers sync.WaitGroup
-	var policyErr, rolloutErr error
-	disturbing, stop := context.WithCancel(ctx)
-	defer stop()
-	if r.Day.Crowd {
-		g := f.Gatherers[r.Day.Seed%uint64(len(f.Gatherers))]
-		disturbers.Go(func() { crowd(disturbing, g) })
+	before, err := resourcesBefore(ctx, f)
+	if err != nil {
+		return err
 	}
-	if r.Day.Kind == Rollouts {
-		disturbers.Go(func() { rolloutErr = runRollout(ctx, f, o, r.Folder, r.Day.Seed) })
+	if r.Day.Extras.Exclusive {
+		if r.exclusive, err = startExclusive(ctx, f); err != nil {
+			return err
+		}
 	}
-	if r.Day.Kind == Policies {
-		disturbers.Go(func() { policyErr = disturbPolicyServers(disturbing, f, r.Day.Seed) })
-		disturbers.Go(func() { proposeChanges(disturbing, f) })
+	if r.Day.Extras.Habits {
+		f.Front.SetHabits(processtest.ClientHabits{Leaving: leavingShare, Hurried: hurriedShare})
 	}
-	_ = f.Play(ctx) // its faults are part of the result
-	stop()
-	disturbers.Wait()
+	err = r.playDisturbed(ctx, f, o)
 	r.Operations = f.Front.Total().Operations
 	r.Late = f.Front.Total().Endings[processtest.Late]
-	if err := errors.Join(ctx.Err(), policyErr, rolloutErr); err != nil {
+	if err := errors.Join(ctx.Err(), err); err != nil {
 		return err
 	}
+	if r.Day.Extras.Exclusive {
+		if err := r.exclusive.end(ctx); err != nil {
+			return err
+		}
+	}
 	if r.Day.Kind == Policies {
 		if err := awaitChange(ctx, f); err != nil {
 			return err
 		}
 	}
 	wait(ctx, recoveryTime)
-	return checkRecovery(ctx, f)
+	return errors.Join(checkRecovery(ctx, f), checkDiscoveryFollowed(ctx, f), checkResources(ctx, f, before))
+}
+
+// playDisturbed plays the scenario with all that happens beside its faults.
+func (r *Result) playDisturbed(ctx context.Context, f *processtest.Fleet, o Options) error {
+	disturbing, stop := context.WithCancel(ctx)
+	defer stop()
+	disturbers := r.disturbers(ctx, f, o)
+	errs := make([]error, len(disturbers))
+	var running sync.WaitGroup
+	for i, disturb := range disturbers {
+		running.Go(func() { errs[i] = disturb(disturbing) })
+	}
+	_ = f.Play(ctx) // its faults are part of the result
+	stop()
+	stopLoad := f.Load(ctx) // a rollout that goes on has to see the new and the old serve
+	running.Wait()
+	stopLoad()
+	return errors.Join(errs...)
+}
+
+// disturbers are what happens beside the scenario's faults, until its context ends. A rollout is carried out to its end.
+func (r *Result) disturbers(day context.Context, f *processtest.Fleet, o Options) (all []func(ctx context.Context) error) {
+	if r.Day.Extras.Reconfigured {
+		all = append(all, func(ctx context.Context) error { return runReconfigurations(ctx, f, r.Day) })
+	}
+	if r.Day.Extras.Resting {
+		all = append(all, func(ctx context.Context) error { return runRestingClients(ctx, f) })
+	}
+	if r.Day.Crowd {
+		g := f.Gatherers[r.Day.Seed%uint64(len(f.Gatherers))]
+		all = append(all, func(ctx context.Context) error { return crowd(ctx, g) })
+	}
+	switch r.Day.Kind {
+	case Rollouts:
+		all = append(all, func(context.Context) error { return runRollout(day, f, o, r.Folder, r.Day.Seed) })
+	case Policies:
+		proposer := propose
+		if r.Day.Extras.Exclusive {
+			proposer = proposeExclusive
+		}
+		all = append(all,
+			func(ctx context.Context) error { return disturbPolicyServers(ctx, f, r.Day.Seed) },
+			func(ctx context.Context) error { return proposeChanges(ctx, f, proposer) })
+	}
+	return all
 }
 
 // checkRecovery plays a load without faults.
 func checkRecovery(ctx context.Context, f *processtest.Fleet) error {
+	f.Front.SetHabits(processtest.ClientHabits{})
 	before := f.Front.Total()
 	f.Front.Play(ctx, checkTime)
 	after := f.Front.Total()
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -17,8 +17,8 @@
 	os.Exit(status)
 }
 
-// seeds are those of the days in CI: one of each kind, and one with a crowd.
-var seeds = []uint64{1, 6, 7, 12}
+// seeds are those of the days in CI: all kinds, one with a crowd, and all extras.
+var seeds = []uint64{1, 6, 7, 12, 3, 15}
 
 const workers = 2
 
--- a/internal/testbed/standin/discoveryserver/server.go
+++ b/internal/testbed/standin/discoveryserver/server.go
@@ -55,13 +55,14 @@
 }
 
 // ServeView serves the list on another listener with its entries as one gatherer sees them: it may reach a server at an
-// address of its own. It ends with its listener.
-func (s *Server) ServeView(l net.Listener, view func(Member) Member) {
+// address of its own. It ends with its listener; closing the server that is returned ends its connections too.
+func (s *Server) ServeView(l net.Listener, view func(Member) Member) *http.Server {
 	server := &http.Server{Handler: s.handler(view)}
 	s.mu.Lock()
 	s.servers = append(s.servers, server)
 	s.mu.Unlock()
 	s.serving.Go(func() { _ = server.Serve(l) }) // ends with the listener
+	return server
 }
 
 // Address returns the address that it listens on.
