Front end: the last look at the queue of connections follows a short sleep

Cause: between the last accept and the end of listening the process may be preempted, and what the kernel establishes meanwhile is reset. Change: where the queue is empty the thread sleeps for 100 us and looks again; a thread that has just been woken is hardly preempted before its next system call. The package's shutdown tests pass under the race detector. A handshake that is under way at the end can still be reset; no system call closes that.

--- a/internal/gatherer/frontend/listener.go
+++ b/internal/gatherer/frontend/listener.go
@@ -86,17 +86,32 @@
 	return c, nil
 }
 
+// settleTime is a pause before the last look at the queue: a thread that has just been woken is the least likely to be
+// preempted before its next system call.
+const settleTime = 100 * time.Microsecond
+
 // acceptOrStop accepts a connection without waiting for one. Where the queue is empty the socket stops listening in the
 // same step, so that no connection is established behind the last look at the queue and reset by the close.
 func acceptOrStop(listening int) (accepted int, err error) {
+	accepted, err = acceptQueued(listening)
+	if !errors.Is(err, syscall.EAGAIN) {
+		return accepted, err
+	}
+	pause := syscall.NsecToTimespec(settleTime.Nanoseconds())
+	_ = syscall.Nanosleep(&pause, nil) // in this thread; cut short by a signal it has been woken as well
+	accepted, err = acceptQueued(listening)
+	if errors.Is(err, syscall.EAGAIN) {
+		_ = syscall.Shutdown(listening, syscall.SHUT_RD)
+	}
+	return accepted, err
+}
+
+// acceptQueued accepts a connection that waits in the queue.
+func acceptQueued(listening int) (accepted int, err error) {
 	for {
 		accepted, _, err = syscall.Accept4(listening, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-		switch {
-		case errors.Is(err, syscall.EINTR), errors.Is(err, syscall.ECONNABORTED):
-			continue
-		case errors.Is(err, syscall.EAGAIN):
-			_ = syscall.Shutdown(listening, syscall.SHUT_RD)
+		if !errors.Is(err, syscall.EINTR) && !errors.Is(err, syscall.ECONNABORTED) {
+			return accepted, err
 		}
-		return accepted, err
 	}
 }
