--- a/internal/testbed/processtest/faults.go
+++ b/internal/testbed/processtest/faults.go
@@ -236,8 +236,8 @@
 	return nil
 }
 
-// ignoreEnded drops the error of what was done to a process that has ended meanwhile. The kernel knows of its end before
-// the process counts as not alive.
+// ignoreEnded drops the error of what was done to a process that has ended meanwhile. The kernel knows of its end
+// before the process counts as not alive.
 func ignoreEnded(p *process.Process, err error) error {
 	if !p.Alive() || errors.Is(err, os.ErrProcessDone) || errors.Is(err, syscall.ESRCH) {
 		return nil
--- a/internal/testbed/processtest/fleet.go
+++ b/internal/testbed/processtest/fleet.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"yokeroute/internal/gatherer/discovery"
+	"yokeroute/internal/parallel"
 	"yokeroute/internal/pcg"
 	"yokeroute/internal/process"
 	"yokeroute/internal/rulecheck"
@@ -29,6 +30,13 @@
 	"yokeroute/internal/testbed/standin/shardserver"
 )
 
+const (
+	firstGathererHost = 10 // gatherers have addresses of the fleet from this host number on
+	startsAtOnce      = 4
+	firstPassShare    = 0.1  // of a part's work
+	serverSeeds       = 1000 // seeds that a fleet's servers have for themselves
+)
+
 // Terms are what a fleet is started with beside its scenario.
 type Terms struct {
 	Binary   string // the gatherers' program
@@ -93,15 +101,7 @@
 		return nil, err
 	}
 	f.truth = rulecheck.GroundTruth{Servers: map[uint32]rulecheck.Server{}, SlowStart: sc.Header().SlowStart}
-	var machines []experiment.Machine
-	for i, m := range sc.Machines() {
-		name := fmt.Sprint("s", i+1)
-		machines = append(machines, experiment.Machine{Name: name, Zone: sc.Halls[m.Hall], Kind: m.Kind.Name, ReplicaSet: m.Set,
-			Config: shardserver.Config{Cores: m.Kind.Cores, MeanWork: sc.Indexes[0].Work / m.Kind.Speed, WorkVariation: sc.Indexes[0].Spread, CallWork: m.Kind.Call, QueueLimit: m.Kind.Queue,
-				FirstPassWork: sc.Indexes[0].Work * 0.1, KeepsCancelledWork: sc.Rules.Cancel != "waiting" && sc.Rules.Cancel != "running", Seed: sc.Seed*1000 + uint64(i)}})
-		f.truth.Servers[discovery.ServerID(name)] = rulecheck.Server{Capacity: float64(m.Kind.Cores)}
-	}
-	if f.Fleet, err = experiment.StartFleet(machines); err != nil {
+	if f.Fleet, err = experiment.StartFleet(f.machines()); err != nil {
 		return nil, err
 	}
 	for name, s := range f.Servers {
@@ -115,54 +115,95 @@
 		return nil, err
 	}
 	for i := range sc.Gatherers.Count {
-		g := &Gatherer{Name: fmt.Sprint("g", i+1), Number: i + 1, Hall: sc.Halls[i%len(sc.Halls)], Address: fmt.Sprintf("%s.%d:8000", f.base, 10+i), fleet: f, Binary: terms.Binary}
-		if terms.Report {
-			g.Reports = fmt.Sprintf("%s.%d:8001", f.base, 10+i)
-		}
-		g.Folder = filepath.Join(terms.Folder, g.Name)
-		if err := os.MkdirAll(g.Folder, 0o755); err != nil {
-			return nil, err
-		}
-		// Its agent, which tells it each server's address as that of its own link there.
-		if g.agent, err = net.Listen("tcp", f.base+".2:0"); err != nil {
-			return nil, err
-		}
-		g.agentView = f.Discovery.ServeView(g.agent, g.entry)
-		if _, err := f.link(g.Name, "discovery", g.agent.Addr().String()); err != nil {
-			return nil, err
-		}
-		if _, err := f.link("front", g.Name, g.Address); err != nil {
+		g, err := f.layGatherer(i)
+		if err != nil {
 			return nil, err
 		}
 		f.Gatherers = append(f.Gatherers, g)
 	}
-	// A few at a time: under the race detector a start takes a second of a core.
-	var all []error
-	var mu sync.Mutex
-	var wait sync.WaitGroup
-	places := make(chan struct{}, 4)
-	for _, g := range f.Gatherers {
-		wait.Go(func() {
-			places <- struct{}{}
-			defer func() { <-places }()
-			if err := g.Start(ctx); err != nil {
-				mu.Lock()
-				all = append(all, err)
-				mu.Unlock()
-			}
-		})
-	}
-	wait.Wait()
-	if err = errors.Join(all...); err != nil {
+	if err = f.startGatherers(ctx); err != nil {
 		return nil, err
 	}
 	f.Front = newFront(f)
 	return f, nil
 }
 
+// machines are the servers' machines, which are noted in the ground truth.
+func (f *Fleet) machines() (all []experiment.Machine) {
+	scenario := f.Scenario
+	index := &scenario.Indexes[0]
+	cancel := scenario.Rules.Cancel
+	for i, m := range scenario.Machines() {
+		name := fmt.Sprint("s", i+1)
+		config := shardserver.Config{
+			Cores:              m.Kind.Cores,
+			MeanWork:           index.Work / m.Kind.Speed,
+			WorkVariation:      index.Spread,
+			CallWork:           m.Kind.Call,
+			QueueLimit:         m.Kind.Queue,
+			FirstPassWork:      index.Work * firstPassShare,
+			KeepsCancelledWork: cancel != "waiting" && cancel != "running",
+			Seed:               scenario.Seed*serverSeeds + uint64(i),
+		}
+		all = append(all, experiment.Machine{
+			Name:       name,
+			Zone:       scenario.Halls[m.Hall],
+			Kind:       m.Kind.Name,
+			ReplicaSet: m.Set,
+			Config:     config,
+		})
+		f.truth.Servers[discovery.ServerID(name)] = rulecheck.Server{Capacity: float64(m.Kind.Cores)}
+	}
+	return all
+}
+
+// layGatherer makes a gatherer with its address, its agent and its links, and starts nothing.
+func (f *Fleet) layGatherer(i int) (*Gatherer, error) {
+	host := fmt.Sprintf("%s.%d", f.base, firstGathererHost+i)
+	g := &Gatherer{
+		Name:    fmt.Sprint("g", i+1),
+		Number:  i + 1,
+		Hall:    f.Scenario.Halls[i%len(f.Scenario.Halls)],
+		Address: host + ":8000",
+		Binary:  f.terms.Binary,
+		fleet:   f,
+	}
+	if f.terms.Report {
+		g.Reports = host + ":8001"
+	}
+	g.Folder = filepath.Join(f.terms.Folder, g.Name)
+	err := os.MkdirAll(g.Folder, 0o755)
+	if err != nil {
+		return nil, err
+	}
+	// Its agent, which tells it each server's address as that of its own link there.
+	if g.agent, err = net.Listen("tcp", f.base+".2:0"); err != nil {
+		return nil, err
+	}
+	g.agentView = f.Discovery.ServeView(g.agent, g.entry)
+	if _, err := f.link(g.Name, "discovery", g.agent.Addr().String()); err != nil {
+		return nil, err
+	}
+	_, err = f.link("front", g.Name, g.Address)
+	return g, err
+}
+
+// startGatherers starts all gatherers, a few at a time: under the race detector a start takes a second of a core.
+func (f *Fleet) startGatherers(ctx context.Context) error {
+	errs := parallel.Map(len(f.Gatherers), startsAtOnce, func(i int) error { return f.Gatherers[i].Start(ctx) })
+	return errors.Join(errs...)
+}
+
 // see takes what a server tells of a part.
 func (f *Fleet) see(id uint32, seen shardserver.Event) {
-	e := rulecheck.Event{At: float64(seen.At.UnixNano()) / 1e6, Kind: rulecheck.EventKind(seen.Kind), Server: id, Shard: seen.Shard, FirstPass: seen.FirstPass, Work: seen.Work}
+	e := rulecheck.Event{
+		At:        float64(seen.At.UnixNano()) / float64(time.Millisecond),
+		Kind:      rulecheck.EventKind(seen.Kind),
+		Server:    id,
+		Shard:     seen.Shard,
+		FirstPass: seen.FirstPass,
+		Work:      seen.Work,
+	}
 	e.QueryName = strings.TrimSuffix(seen.ID, "~")
 	if dot := strings.LastIndexByte(e.QueryName, '.'); dot >= 0 {
 		e.QueryName = e.QueryName[:dot]
--- a/internal/testbed/processtest/gatherer.go
+++ b/internal/testbed/processtest/gatherer.go
@@ -82,8 +82,14 @@
 	f := g.fleet
 	own := f.Scenario.settings(g.Number-1, g.Hall)
 	discovery := cmp.Or(g.discovery, f.Link(g.Name+":discovery").Address())
-	config := map[string]any{"name": g.Name, "listen": g.Address, "discovery": discovery, "seed": fmt.Sprintf("%x", f.Scenario.Seed*1000+uint64(g.Number)*100+uint64(g.started)),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": cmp.Or(f.terms.MemoryMB, 192), "sockets": 1024}, "settings": own}
+	config := map[string]any{
+		"name":      g.Name,
+		"listen":    g.Address,
+		"discovery": discovery,
+		"seed":      fmt.Sprintf("%x", f.Scenario.Seed*1000+uint64(g.Number)*100+uint64(g.started)),
+		"limits":    map[string]any{"cores": 1.0, "memory_mb": cmp.Or(f.terms.MemoryMB, 192), "sockets": 1024},
+		"settings":  own,
+	}
 	if g.Known != "" {
 		config["known"] = json.RawMessage(g.Known)
 	}
@@ -106,7 +112,10 @@
 	operator.WriteString(governed)
 	operator.WriteString(f.terms.Operator + "\n" + g.Operator + "\n")
 	// A process may be reading them.
-	return errors.Join(atomicfile.Write(g.ConfigFile(), text), atomicfile.Write(g.OperatorFile(), []byte(operator.String())))
+	return errors.Join(
+		atomicfile.Write(g.ConfigFile(), text),
+		atomicfile.Write(g.OperatorFile(), []byte(operator.String())),
+	)
 }
 
 // Start starts a process of it and waits until it is ready.
@@ -144,7 +153,9 @@
 		return nil, err
 	}
 	defer end.Close() // the process has its own
-	p, err := process.Start(fmt.Sprintf("%s.%d", g.Name, g.started), g.Binary, []string{"serve", "--config", g.ConfigFile(), "--operator", g.OperatorFile()}, nil, end)
+	name := fmt.Sprintf("%s.%d", g.Name, g.started)
+	args := []string{"serve", "--config", g.ConfigFile(), "--operator", g.OperatorFile()}
+	p, err := process.Start(name, g.Binary, args, nil, end)
 	if err != nil {
 		return nil, err
 	}
@@ -220,14 +231,63 @@
 	var whole, least, partial []float64
 	effects := map[string]string{"idempotent": "pure", "fingerprinted": "token", "once-only": "side_effect"}
 	for _, ix := range s.Indexes {
-		classes = append(classes, map[string]any{"name": ix.Name, "effect": effects[ix.Effect], "goalTime": us(ix.Soft), "hardLimit": us(ix.Hard), "lateValue": ix.Late, "worth": ix.Gain, "window": us(ix.Window)})
-		whole, least, partial = append(whole, ix.Need), append(least, ix.Least), append(partial, ix.Partial)
+		classes = append(classes, map[string]any{
+			"name":      ix.Name,
+			"effect":    effects[ix.Effect],
+			"goalTime":  us(ix.Soft),
+			"hardLimit": us(ix.Hard),
+			"lateValue": ix.Late,
+			"worth":     ix.Gain,
+			"window":    us(ix.Window),
+		})
+		whole = append(whole, ix.Need)
+		least = append(least, ix.Least)
+		partial = append(partial, ix.Partial)
 	}
 	r := s.Rules
-	return map[string]any{"tick": us(s.Tick), "balancers": s.Gatherers.Count, "myNumber": number, "zone": hall, "discovery": "pushed", "classes": classes,
-		"domain": map[string]any{"cells": s.Layout.Sets, "inARow": s.Layout.Row, "shards": s.Layout.Shards, "partsACall": r.CallParts, "call": us(s.CallCost()), "completeFrom": whole, "classFloor": least, "partialEarns": partial},
-		"limits": map[string]any{"cancel": r.Cancel != "nothing", "connectTimeout": us(r.Connect), "idleClose": us(r.Idle), "streamsPerConn": 100, "attemptsCap": r.Calls, "secondCopies": r.Copies, "retryAfter": true, "maxRetryAfter": us(r.ComeBack), "mostHeld": s.Gatherers.Held},
-		"rules":  map[string]any{"budgetShare": r.Share, "extraFloor": r.Free, "resendSpan": us(r.Span), "drainGrace": us(r.Grace), "answerSlack": us(r.Slack + 50), "cold": us(r.ColdTime), "coldShare": r.ColdFrom, "fall": us(r.FallSpan), "fallMultiple": r.FallTimes}}
+	domain := map[string]any{
+		"cells":        s.Layout.Sets,
+		"inARow":       s.Layout.Row,
+		"shards":       s.Layout.Shards,
+		"partsACall":   r.CallParts,
+		"call":         us(s.CallCost()),
+		"completeFrom": whole,
+		"classFloor":   least,
+		"partialEarns": partial,
+	}
+	limits := map[string]any{
+		"cancel":         r.Cancel != "nothing",
+		"connectTimeout": us(r.Connect),
+		"idleClose":      us(r.Idle),
+		"streamsPerConn": 100,
+		"attemptsCap":    r.Calls,
+		"secondCopies":   r.Copies,
+		"retryAfter":     true,
+		"maxRetryAfter":  us(r.ComeBack),
+		"mostHeld":       s.Gatherers.Held,
+	}
+	rules := map[string]any{
+		"budgetShare":  r.Share,
+		"extraFloor":   r.Free,
+		"resendSpan":   us(r.Span),
+		"drainGrace":   us(r.Grace),
+		"answerSlack":  us(r.Slack + 50),
+		"cold":         us(r.ColdTime),
+		"coldShare":    r.ColdFrom,
+		"fall":         us(r.FallSpan),
+		"fallMultiple": r.FallTimes,
+	}
+	return map[string]any{
+		"tick":      us(s.Tick),
+		"balancers": s.Gatherers.Count,
+		"myNumber":  number,
+		"zone":      hall,
+		"discovery": "pushed",
+		"classes":   classes,
+		"domain":    domain,
+		"limits":    limits,
+		"rules":     rules,
+	}
 }
 
 // entry is an entry of the list as the gatherer's agent tells it: each server's address is that of its own link there.
--- a/internal/testbed/processtest/live.go
+++ b/internal/testbed/processtest/live.go
@@ -66,7 +66,9 @@
 			}
 		}
 		t := f.Front.Total()
-		fmt.Fprintf(w, "%7.2fs  %d of %d gatherers serve; %d operations, %d satisfied, %d nacked, %d failed, late or lost\n", time.Since(f.began).Seconds(), serving, len(f.Gatherers), t.Operations, t.Endings[Satisfied]+t.Endings[Partial], t.Endings[Nacked], t.Endings[Failed]+t.Endings[Late]+t.Endings[Lost])
+		fmt.Fprintf(w, "%7.2fs  %d of %d gatherers serve; %d operations, %d satisfied, %d nacked, %d failed, late or lost\n",
+			time.Since(f.began).Seconds(), serving, len(f.Gatherers), t.Operations,
+			t.Endings[Satisfied]+t.Endings[Partial], t.Endings[Nacked], t.unanswered())
 	}
 }
 
@@ -128,7 +130,8 @@
 	var b strings.Builder
 	t := s.f.Front.Total()
 	fmt.Fprintln(&b, termstyle.Title.Render("yokeroute-testbed fleet")+termstyle.Muted.Render(fmt.Sprintf("  %s, %d gatherers, %d servers", s.f.Scenario.Name, len(s.f.Gatherers), len(s.f.Servers))))
-	fmt.Fprintf(&b, "operations %d   earned %.1f%%   nacked %d   failed, late or lost %d\n\n", t.Operations, 100*t.Value/max(t.Asked, 1e-9), t.Endings[Nacked], t.Endings[Failed]+t.Endings[Late]+t.Endings[Lost])
+	fmt.Fprintf(&b, "operations %d   earned %.1f%%   nacked %d   failed, late or lost %d\n\n", t.Operations,
+		100*t.Value/max(t.Asked, 1e-9), t.Endings[Nacked], t.unanswered())
 	fmt.Fprintln(&b, termstyle.Title.Render(fmt.Sprintf("  %-6s %-10s %-10s %8s %8s", "name", "hall", "state", "cpu s", "MB")))
 	from := max(min(s.at-s.rows/2, len(s.f.Gatherers)-s.rows), 0)
 	for i, g := range s.f.Gatherers[from:min(from+s.rows, len(s.f.Gatherers))] {
--- a/internal/testbed/processtest/losttry.go
+++ b/internal/testbed/processtest/losttry.go
@@ -12,11 +12,11 @@
 
 // The kinds of lost tries.
 const (
-	NewConnectionBroke  LossKind = "a new connection broke"
-	KeptConnectionBroke LossKind = "a kept connection broke"
-	AnswerBroke         LossKind = "the connection broke within the answer"
-	Unanswered          LossKind = "no answer in time"
-	ReadAndDropped      LossKind = "read, and its connection closed without an answer"
+	NewConnectionBroke    LossKind = "a new connection broke"
+	ReusedConnectionBroke LossKind = "a kept connection broke"
+	AnswerBroke           LossKind = "the connection broke within the answer"
+	Unanswered            LossKind = "no answer in time"
+	ReadAndDropped        LossKind = "read, and its connection closed without an answer"
 )
 
 // LostTry is a try that the platform would count as lost.
@@ -36,16 +36,16 @@
 	if l.Fault != "" {
 		since = fmt.Sprintf("%.2f s after %s", l.SinceFault.Seconds(), l.Fault)
 	}
-	return fmt.Sprintf("%s at %s, %s, after %v, of which its threads waited %v for a processor: %s: %s", l.Name, l.Gatherer,
-		since, l.Took.Round(time.Millisecond), l.Starved.Round(time.Millisecond), l.Kind, l.Error)
+	return fmt.Sprintf("%s at %s, %s, after %v, of which its threads waited %v for a processor: %s: %s", l.Name,
+		l.Gatherer, since, l.Took.Round(time.Millisecond), l.Starved.Round(time.Millisecond), l.Kind, l.Error)
 }
 
 // lostTry describes a try that ends now.
 func (f *Fleet) lostTry(try *Try, target *frontTarget, kind LossKind, err error) LostTry {
-	lost := LostTry{Name: try.Name, Kind: kind, Gatherer: target.gatherer.Name, Took: time.Since(try.Began),
+	lost := LostTry{Name: try.Name, Kind: kind, Gatherer: target.gatherer.Name, Took: time.Since(try.StartedAt),
 		Error: err.Error()}
 	target.starvation.sample(target.gatherer.Process())
-	lost.Starved = target.starvation.since(try.Began)
+	lost.Starved = target.starvation.since(try.StartedAt)
 	lost.Fault, lost.SinceFault = target.gatherer.lastFault()
 	return lost
 }
--- a/internal/testbed/processtest/operation.go
+++ b/internal/testbed/processtest/operation.go
@@ -53,7 +53,7 @@
 	return o
 }
 
-// run tries until an operation has its answer, may not be tried again, or its time is up.
+// run tries until an operation has its answer, may not be repeated, or its time is up.
 func (f *Front) run(o *operation) {
 	startedAt := time.Now()
 	deadline := startedAt.Add(milliseconds(o.index.Hard))
@@ -62,7 +62,8 @@
 		try, wait := f.try(o, number, startedAt, deadline)
 		earned += try.Value
 		f.count(o, &try)
-		if !o.mayRepeat(&try, number, f.fleet.Scenario.Clients.Retries) || !time.Now().Add(wait).Before(deadline.Add(-minTryTime)) {
+		timeLeft := time.Until(deadline) - wait
+		if !o.mayRepeat(&try, number, f.fleet.Scenario.Clients.Retries) || timeLeft <= minTryTime {
 			break
 		}
 		select {
@@ -100,7 +101,7 @@
 // try tries once; wait is for how long to wait before the next try.
 func (f *Front) try(o *operation, number int, startedAt, deadline time.Time) (try Try, wait time.Duration) {
 	clients := f.fleet.Scenario.Clients
-	try = Try{Name: fmt.Sprintf("%s-%d", o.name, number), Index: o.index.Name, Began: time.Now(), Ending: Refused}
+	try = Try{Name: fmt.Sprintf("%s-%d", o.name, number), Index: o.index.Name, StartedAt: time.Now(), Ending: Refused}
 	wait = milliseconds(clients.Wait)
 	target := f.choose(o.hall, o.chance.Float64())
 	if target == nil {
@@ -110,8 +111,9 @@
 	if o.hurry > 0 {
 		timeout = min(timeout, o.hurry)
 	}
-	r := f.sendOrResend(target, &request{operation: o, try: &try, repeated: number > 0, deadline: try.Began.Add(timeout)})
-	try.Took = time.Since(try.Began)
+	q := &request{operation: o, try: &try, repeated: number > 0, deadline: try.StartedAt.Add(timeout)}
+	r := f.sendOrResend(target, q)
+	try.Took = time.Since(try.StartedAt)
 	switch {
 	case r.unreached():
 		return try, min(wait, unreachedWait)
@@ -172,11 +174,11 @@
 	return value
 }
 
-// retryAfter returns the wait that a rejection tells, or the usual one.
-func retryAfter(r *reply, usual time.Duration) time.Duration {
+// retryAfter returns the wait that a rejection asks for, or the fallback.
+func retryAfter(r *reply, fallback time.Duration) time.Duration {
 	seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
 	if err != nil {
-		return usual
+		return fallback
 	}
 	return time.Duration(seconds * float64(time.Second))
 }
--- a/internal/testbed/processtest/request.go
+++ b/internal/testbed/processtest/request.go
@@ -40,8 +40,8 @@
 	hits   float64 // of the parts
 	err    error   // nil where the whole answer came
 
-	reused bool        // the request went on a kept connection
-	begun  atomic.Bool // a byte of the answer came
+	reused   bool        // the request went on a kept connection
+	answered atomic.Bool // a byte of the answer came
 }
 
 // unreached reports whether nothing was sent. A reset may have come after the request was read.
@@ -59,7 +59,7 @@
 // crossed reports whether a kept connection ended before a byte of the answer, as where its gatherer has closed it
 // between requests.
 func (r *reply) crossed() bool {
-	return r.err != nil && r.reused && !r.begun.Load() && !r.timedOut() && !r.abandoned()
+	return r.err != nil && r.reused && !r.answered.Load() && !r.timedOut() && !r.abandoned()
 }
 
 // loss is the kind of loss where the request is lost.
@@ -67,10 +67,10 @@
 	switch {
 	case r.timedOut():
 		return Unanswered
-	case r.begun.Load():
+	case r.answered.Load():
 		return AnswerBroke
 	case r.reused:
-		return KeptConnectionBroke
+		return ReusedConnectionBroke
 	}
 	return NewConnectionBroke
 }
@@ -97,7 +97,7 @@
 	}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:              func(info httptrace.GotConnInfo) { r.reused = info.Reused },
-		GotFirstResponseByte: func() { r.begun.Store(true) },
+		GotFirstResponseByte: func() { r.answered.Store(true) },
 	})
 	o := q.operation
 	body := experiment.Body(o.first, o.parts, f.fleet.Scenario.Layout.Shards, o.name)
--- a/internal/testbed/processtest/result.go
+++ b/internal/testbed/processtest/result.go
@@ -36,7 +36,7 @@
 	Uses    map[string]process.Usage `json:"uses"`
 	Rules   *rulecheck.JoinedReport  `json:"rules"`
 	Lost    []LostTry                `json:"lost,omitempty"`    // tries that the platform would count as lost
-	Crossed []LostTry                `json:"crossed,omitempty"` // requests that crossed a close unread, and were sent once more
+	Crossed []LostTry                `json:"crossed,omitempty"` // requests sent once more, unread before
 	Faults  string                   `json:"faults,omitempty"`  // of processes and of the rig
 }
 
@@ -45,7 +45,14 @@
 
 // Finish ends a fleet and gives what its day came to.
 func (f *Fleet) Finish() (*Result, error) {
-	r := &Result{Form: ResultForm, Name: f.Scenario.Name, Seed: f.Scenario.Seed, Text: f.Scenario.Text, Uses: map[string]process.Usage{}, P99: map[string]int64{}}
+	r := &Result{
+		Form: ResultForm,
+		Name: f.Scenario.Name,
+		Seed: f.Scenario.Seed,
+		Text: f.Scenario.Text,
+		Uses: map[string]process.Usage{},
+		P99:  map[string]int64{},
+	}
 	for _, g := range f.Gatherers {
 		if p := g.Process(); p != nil {
 			r.Uses[g.Name] = p.Usage()
@@ -100,11 +107,14 @@
 func (r *Result) Lines() (lines []string) {
 	for _, name := range slices.Sorted(maps.Keys(r.Indexes)) {
 		t := r.Indexes[name]
-		lines = append(lines, fmt.Sprintf("%-10s %5d operations, %5d tries: %d satisfied, %d in part, %d nacked, %d failed, %d late, %d lost, %d unreached; earned %.1f%%; p99 %.0f ms", name, t.Operations, t.Tries,
-			t.Endings[Satisfied], t.Endings[Partial], t.Endings[Nacked], t.Endings[Failed], t.Endings[Late], t.Endings[Lost], t.Endings[Refused], 100*t.Value/max(t.Asked, 1e-9), float64(r.P99[name])/1000))
+		lines = append(lines, fmt.Sprintf("%-10s %5d operations, %5d tries: %d satisfied, %d in part, %d nacked, "+
+			"%d failed, %d late, %d lost, %d unreached; earned %.1f%%; p99 %.0f ms", name, t.Operations, t.Tries,
+			t.Endings[Satisfied], t.Endings[Partial], t.Endings[Nacked], t.Endings[Failed], t.Endings[Late],
+			t.Endings[Lost], t.Endings[Refused], 100*t.Value/max(t.Asked, 1e-9), float64(r.P99[name])/1000))
 	}
 	if j := r.Rules; j != nil {
-		lines = append(lines, fmt.Sprintf("joined traces: %d lookups, %d part calls, %d processes killed", j.Queries, j.Attempts, j.KilledProcesses))
+		lines = append(lines, fmt.Sprintf("joined traces: %d lookups, %d part calls, %d processes killed",
+			j.Queries, j.Attempts, j.KilledProcesses))
 		for rule := 1; rule <= 6; rule++ {
 			switch {
 			case j.Counts[rule] > 0:
@@ -134,11 +144,12 @@
 
 // Page is the results as one page that stands alone.
 func (r *Result) Page() ([]byte, error) {
-	chart := htmlreport.Chart{X: "seconds", Y: "earned of what was asked", High: 1, Lines: []htmlreport.Line{{Name: "all indexes"}}}
+	line := htmlreport.Line{Name: "all indexes"}
 	if r.Series != nil {
 		for s := range r.Series.Asked {
 			if r.Series.Asked[s] > 0 {
-				chart.Lines[0].Points = append(chart.Lines[0].Points, htmlreport.Point{X: float64(s), Y: r.Series.Earned[s] / r.Series.Asked[s]})
+				share := r.Series.Earned[s] / r.Series.Asked[s]
+				line.Points = append(line.Points, htmlreport.Point{X: float64(s), Y: share})
 			}
 		}
 	}
@@ -147,6 +158,13 @@
 		return nil, err
 	}
 	var out bytes.Buffer
-	err = t.Execute(&out, map[string]any{"Result": r, "Style": htmlreport.Style, "Chart": chart.SVG(), "Lines": r.Lines(), "Kept": r.Kept()})
+	chart := htmlreport.Chart{X: "seconds", Y: "earned of what was asked", High: 1, Lines: []htmlreport.Line{line}}
+	err = t.Execute(&out, map[string]any{
+		"Result": r,
+		"Style":  htmlreport.Style,
+		"Chart":  chart.SVG(),
+		"Lines":  r.Lines(),
+		"Kept":   r.Kept(),
+	})
 	return out.Bytes(), err
 }
--- a/internal/testbed/processtest/tally.go
+++ b/internal/testbed/processtest/tally.go
@@ -26,12 +26,12 @@
 
 // Try is one try of an operation.
 type Try struct {
-	Name   string // OPERATION-NUMBER
-	Index  string
-	Began  time.Time
-	Took   time.Duration
-	Ending Ending
-	Value  float64 // earned: of the operation's gain, by the terms of its index
+	Name      string // OPERATION-NUMBER
+	Index     string
+	StartedAt time.Time
+	Took      time.Duration
+	Ending    Ending
+	Value     float64 // earned: of the operation's gain, by the terms of its index
 }
 
 const (
@@ -60,6 +60,9 @@
 	}
 }
 
+// unanswered counts the tries that got no answer in time.
+func (t *Tally) unanswered() int { return t.Endings[Failed] + t.Endings[Late] + t.Endings[Lost] }
+
 // Tallies are tallies by index.
 type Tallies map[string]*Tally
 
--- a/internal/testbed/soak/controllers.go
+++ b/internal/testbed/soak/controllers.go
@@ -81,8 +81,8 @@
 		return true, nil
 	}
 	if err := p.Stop(ctx); err == nil && !p.HasEnded() {
-		if d.takeOvers.Uint32()%2 == 0 {
-			return true, d.takeOver(ctx, p, number)
+		if d.supersessions.Uint32()%2 == 0 {
+			return true, d.supersede(ctx, p, number)
 		}
 		d.fleet.Say("controller %d: stop for %v", number+1, controllerStopTime)
 		wait(ctx, controllerStopTime)
@@ -96,8 +96,8 @@
 	return true, nil
 }
 
-// takeOver has another controller take over from a stopped one, which then goes on: it has to end.
-func (d *rolloutDay) takeOver(ctx context.Context, stopped *process.Process, number int) error {
+// supersede has another controller take over from a stopped one, which then goes on: it has to end.
+func (d *rolloutDay) supersede(ctx context.Context, stopped *process.Process, number int) error {
 	d.fleet.Say("controller %d: stop, and controller %d takes over", number+1, number+2)
 	next, err := d.startController(number+1, "--take-over")
 	if err != nil {
--- a/internal/testbed/soak/exclusive.go
+++ b/internal/testbed/soak/exclusive.go
@@ -124,8 +124,8 @@
 	return checkTurns(sends, d.opened)
 }
 
-// checkTurns wants servers to have been sent to in the order in which the policies in force opened them. A gatherer that
-// acts by one policy while another acts by the other one shows as a server that is sent to out of its turn.
+// checkTurns wants servers to have been sent to in the order in which the policies in force opened them. A gatherer
+// that acts by one policy while another acts by the other one shows as a server that is sent to out of its turn.
 func checkTurns(sends []processtest.Send, opened []string) error {
 	next := 0
 	for i, send := range sends {
@@ -138,8 +138,8 @@
 		if next == len(opened) {
 			before := sends[max(i-1, 0)]
 			return fmt.Errorf("%s sent to %s %.1f ms after %s had sent to %s, and no policy in force opened it between: "+
-				"send %d, opened in turn: %v", send.Gatherer, send.Server, send.At-before.At, before.Gatherer, before.Server,
-				i+1, opened)
+				"send %d, opened in turn: %v", send.Gatherer, send.Server, send.At-before.At, before.Gatherer,
+				before.Server, i+1, opened)
 		}
 	}
 	return nil
--- a/internal/testbed/soak/reconfigurations.go
+++ b/internal/testbed/soak/reconfigurations.go
@@ -31,13 +31,13 @@
 	r := &reconfigurations{fleet: f, random: pcg.New(day.Seed ^ 0x51609)}
 	for wait(ctx, reconfigurationPause); ctx.Err() == nil; wait(ctx, reconfigurationPause) {
 		g := f.Gatherers[r.random.Uint32()%uint32(len(f.Gatherers))]
-		behindTerm := r.random.Uint32()%restartOneIn == 0 && day.Kind == Restarts
+		afterTerm := r.random.Uint32()%restartOneIn == 0 && day.Kind == Restarts
 		if !g.IsReady() { // by the platform's page it gets no SIGHUP
 			continue
 		}
 		reconfigure := r.hangupTwice
-		if behindTerm {
-			reconfigure = r.hangupBehindTerm
+		if afterTerm {
+			reconfigure = r.hangupAfterTerm
 		}
 		if err := reconfigure(ctx, g); err != nil {
 			return fmt.Errorf("%s: new files: %w", g.Name, err)
@@ -55,8 +55,8 @@
 	return r.hangup(g)
 }
 
-// hangupBehindTerm restarts a gatherer as planned, and sends SIGHUP with new files right behind SIGTERM.
-func (r *reconfigurations) hangupBehindTerm(ctx context.Context, g *processtest.Gatherer) error {
+// hangupAfterTerm restarts a gatherer as planned, and sends SIGHUP with new files right behind SIGTERM.
+func (r *reconfigurations) hangupAfterTerm(ctx context.Context, g *processtest.Gatherer) error {
 	ctx = context.WithoutCancel(ctx) // a restart that has begun is carried out
 	fault := &processtest.Fault{Kind: "restart", On: []string{g.Name}, State: "kept"}
 	p := g.Process()
--- a/internal/testbed/soak/reports.go
+++ b/internal/testbed/soak/reports.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	toldTime        = 6 * time.Second // after which a change that discovery has counts as told at the latest
-	reportTimeout   = 2 * time.Second
-	recheckInterval = 50 * time.Millisecond
+	maxDiscoveryDelay = 6 * time.Second // after which a change that discovery has counts as told at the latest
+	reportTimeout     = 2 * time.Second
+	recheckInterval   = 50 * time.Millisecond
 
 	drainedServer = "s1"
 )
@@ -46,7 +46,7 @@
 func checkDiscoveryFollowed(ctx context.Context, f *processtest.Fleet) error {
 	f.SetPhase("terminating", drainedServer)
 	defer f.SetPhase("in_service", drainedServer)
-	ctx, cancel := context.WithTimeout(ctx, toldTime)
+	ctx, cancel := context.WithTimeout(ctx, maxDiscoveryDelay)
 	defer cancel()
 	var unaware []string
 	err := process.WaitUntil(ctx, "all gatherers know of a drain", func() bool {
--- a/internal/testbed/soak/resources.go
+++ b/internal/testbed/soak/resources.go
@@ -26,7 +26,8 @@
 	goroutinesPerConnection  = 2
 )
 
-// resources are what a gatherer's process holds beside its connections to shard servers, which it keeps for later queries.
+// resources are what a gatherer's process holds beside its connections to shard servers, which it keeps for later
+// queries.
 type resources struct {
 	descriptors, goroutines int
 	open                    []string // what all of its descriptors are
@@ -94,8 +95,8 @@
 	return before, nil
 }
 
-// checkResources wants every gatherer to hold no more than before the day. Each policy server may have a connection that
-// was not needed then.
+// checkResources wants every gatherer to hold no more than before the day. Each policy server may have a connection
+// that was not needed then.
 func checkResources(ctx context.Context, f *processtest.Fleet, before map[string]resources) error {
 	ctx, cancel := context.WithTimeout(ctx, resourceTimeout)
 	defer cancel()
--- a/internal/testbed/soak/restingclients.go
+++ b/internal/testbed/soak/restingclients.go
@@ -23,8 +23,8 @@
 	restingQuery   = time.Second // that a resting client gives its request
 )
 
-// runRestingClients has clients send one request on a connection each and rest on it until the gatherer ends it. A reset
-// is an error: nothing is under way on such a connection.
+// runRestingClients has clients send one request on a connection each and rest on it until the gatherer ends it. A
+// reset is an error: nothing is under way on such a connection.
 func runRestingClients(ctx context.Context, f *processtest.Fleet) error {
 	var all sync.WaitGroup
 	errs := make([]error, len(f.Gatherers)*restingClients)
@@ -53,7 +53,8 @@
 	_ = conn.SetDeadline(time.Now().Add(restingTimeout))
 	class := f.Scenario.Indexes[0]
 	body := experiment.Body(0, class.Parts, f.Scenario.Layout.Shards, name)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.Address+"/"+class.Name, strings.NewReader(body))
+	url := "http://" + g.Address + "/" + class.Name
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/internal/testbed/soak/rollouts.go
+++ b/internal/testbed/soak/rollouts.go
@@ -50,11 +50,11 @@
 	random  *pcg.Source
 	plan    string // file
 
-	takeOvers *pcg.Source      // whether a controller that is stopped is taken over from
-	running   *process.Process // the controller that has taken over, nil for none
+	supersessions *pcg.Source      // whether a controller that is stopped is taken over from
+	running       *process.Process // the controller that has taken over, nil for none
 
 	mu       sync.Mutex
-	underWay map[string]bool // gatherers with a step under way
+	stepping map[string]bool // gatherers with a step under way
 	steps    int
 	faults   []error
 }
@@ -64,7 +64,7 @@
 	ctx, cancel := context.WithTimeout(ctx, rolloutTimeout)
 	defer cancel()
 	d := &rolloutDay{fleet: f, program: o.Program, order: o.OrderCommand, folder: folder,
-		random: pcg.New(seed ^ 0x2011), takeOvers: pcg.New(seed ^ 0x7a6e), underWay: map[string]bool{}}
+		random: pcg.New(seed ^ 0x2011), supersessions: pcg.New(seed ^ 0x7a6e), stepping: map[string]bool{}}
 	steps, err := f.TakeSteps(d.step)
 	if err != nil {
 		return err
@@ -88,18 +88,18 @@
 // step makes the step that a command orders.
 func (d *rolloutDay) step(ctx context.Context, order processtest.Step) error {
 	d.mu.Lock()
-	if d.underWay[order.Gatherer] {
+	if d.stepping[order.Gatherer] {
 		d.faults = append(d.faults, fmt.Errorf("two steps of %s at once", order.Gatherer))
 		d.mu.Unlock()
 		return errors.New("another step is under way")
 	}
-	d.underWay[order.Gatherer] = true
+	d.stepping[order.Gatherer] = true
 	d.steps++
 	d.mu.Unlock()
 	defer func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.underWay[order.Gatherer] = false
+		d.stepping[order.Gatherer] = false
 	}()
 	// A step outlives the command that has ordered it.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stepTimeout)
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -140,8 +140,11 @@
 	return errors.Join(errs...)
 }
 
-// disturbers are what happens beside the scenario's faults, until its context ends. A rollout is carried out to its end.
-func (r *Result) disturbers(day context.Context, f *processtest.Fleet, o Options) (all []func(ctx context.Context) error) {
+// disturber is what happens beside a scenario's faults, until its context ends.
+type disturber func(ctx context.Context) error
+
+// disturbers are those of the day. A rollout is carried out to its end, whenever its context ends.
+func (r *Result) disturbers(day context.Context, f *processtest.Fleet, o Options) (all []disturber) {
 	if r.Day.Extras.Reconfigured {
 		all = append(all, func(ctx context.Context) error { return runReconfigurations(ctx, f, r.Day) })
 	}
