Soak: the front holds no connection while a gatherer's resources are counted

Cause: on a machine without a free processor checks overlap and open connections of their own. Change: the front pauses its checks and closes its connections, before the first count and for the last ones.

--- a/internal/testbed/processtest/front.go
+++ b/internal/testbed/processtest/front.go
@@ -38,6 +38,7 @@
 	startedAt time.Time
 	drawn     int
 	habits    ClientHabits
+	paused    bool
 	events    *Series
 	lost      []LostTry
 	crossed   []LostTry // sent once more
@@ -117,6 +118,28 @@
 	f.habits = h
 }
 
+// Pause has the front hold no connection and ask no gatherer whether it is ready, until resume is called. No load may be
+// under way.
+func (f *Front) Pause() (resume func()) {
+	f.setPaused(true)
+	for _, target := range f.targets {
+		target.client.CloseIdleConnections()
+	}
+	return func() { f.setPaused(false) }
+}
+
+func (f *Front) setPaused(paused bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.paused = paused
+}
+
+func (f *Front) isPaused() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.paused
+}
+
 // LostTries returns the tries that were lost so far.
 func (f *Front) LostTries() []LostTry {
 	f.mu.Lock()
@@ -161,6 +184,9 @@
 			return
 		case <-tick.C:
 		}
+		if f.isPaused() {
+			continue
+		}
 		target.starvation.sample(target.gatherer.Process())
 		target.noteReadiness(target.isReady(f.ctx), notice)
 	}
--- a/internal/testbed/soak/resources.go
+++ b/internal/testbed/soak/resources.go
@@ -18,8 +18,8 @@
 	// end after 2 s, queries after 3 s at most.
 	resourceTimeout = 6 * time.Second
 
-	// firstChecks is how long the front takes to open the connections on which it asks whether gatherers are ready.
-	firstChecks = time.Second
+	// pauseTime is how long the front's connections take to end once it is paused.
+	pauseTime = time.Second
 
 	// What a gatherer's connection to a shard server or to a policy server takes.
 	descriptorsPerConnection = 1
@@ -83,7 +83,8 @@
 
 // resourcesBefore reads what each gatherer of a fleet holds before its first load.
 func resourcesBefore(ctx context.Context, f *processtest.Fleet) (map[string]resources, error) {
-	wait(ctx, firstChecks)
+	defer f.Front.Pause()()
+	wait(ctx, pauseTime)
 	before := map[string]resources{}
 	for _, g := range f.Gatherers {
 		r, err := resourcesOf(ctx, g)
@@ -98,6 +99,7 @@
 // checkResources wants every gatherer to hold no more than before the day. Each policy server may have a connection
 // that was not needed then.
 func checkResources(ctx context.Context, f *processtest.Fleet, before map[string]resources) error {
+	defer f.Front.Pause()()
 	ctx, cancel := context.WithTimeout(ctx, resourceTimeout)
 	defer cancel()
 	var excess, last []string
