--- a/cmd/yokeroute-testbed/soak.go
+++ b/cmd/yokeroute-testbed/soak.go
@@ -35,9 +35,11 @@
 		Args:    cobra.NoArgs,
 		Example: "  yokeroute-testbed soak --first 1 --seeds 50 --out soak\n  yokeroute-testbed soak --first 17 --seeds 1 --race",
 		Long: "Each seed draws a kind of day (faults of all kinds, planned restarts with signals in series, policy servers " +
-			"with changes\nunder way, rollouts; some with a crowd of idle clients) and its faults. Checked are the six rules on " +
-			"the joined traces, the\ntimes of starts and ends, and that the fleet serves all again after the last " +
-			"fault. Of a day that fails, the scenario\nwith its faults, all traces, logs and results are kept.\n" +
+			"with changes\nunder way, rollouts; some with a crowd of idle clients), its faults, and extras: new files with " +
+			"SIGHUP in series, clients that\nleave, hurry or rest, policies that exclude each other. Checked are the six " +
+			"rules on the joined traces, the times of starts\nand ends, that the fleet serves all again after the last " +
+			"fault, and what gatherers hold then. Of a day that fails, the\nscenario with its faults, all traces, logs " +
+			"and results are kept.\n" +
 			"Status 0: all days passed. 1: one did not. 2: nothing was played.",
 		RunE: func(cmd *cobra.Command, _ []string) error { return options.run(cmd) },
 	}
