Logic: a lost request does not wait for an extra one behind a busier server

What callers see: a query with n of k requests in assisted mode that loses one is not helped while its extra request waits for a busy server; if that hangs, the query is rejected a second later with idle replicas. Cause: responseExpected counts a wanted request without an attempt as expected, a held-back extra one too. Change: a lost request with a replica less busy than those that the extra ones wait for is retried. Test: TestLostRequestBesideHeldBackExtraIsRetried failed before ("+ send 32 2 *", but written was ["wake 10"]).

--- a/logic/advance.go
+++ b/logic/advance.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"math"
 	"slices"
 
 	"yokeroute/gather"
@@ -18,6 +19,9 @@
 	possible float64 // received, or may still be
 	expected float64 // received, or expected to be without a further attempt
 
+	heldBack     float64 // of expected: extra requests that wait for a busy replica
+	heldBackLoad int     // attempts in flight at the least busy of these replicas
+
 	succeeded     int // requests
 	inFlight      int // attempts
 	objectiveLeft float64
@@ -48,10 +52,21 @@
 		if g.responseExpected(r) {
 			p.expected += r.Weight
 		}
+		if r.wanted && r.extra && len(r.attempts) == 0 {
+			p.addHeldBack(r, g.leastInFlight(r))
+		}
 	}
 	return p
 }
 
+// addHeldBack counts an extra request that waits for a replica with so many attempts in flight.
+func (p *progress) addHeldBack(r *shardRequest, load int) {
+	if p.heldBack == 0 || load < p.heldBackLoad {
+		p.heldBackLoad = load
+	}
+	p.heldBack += r.Weight
+}
+
 // complete reports whether the answer received is complete. A request may weigh less than the tolerance:
 // where all are needed they are counted.
 func (p *progress) complete(q *query) bool {
@@ -132,12 +147,18 @@
 }
 
 // retryLostRequests sends a further attempt of requests whose response is not expected any more, as far as
-// the query needs them.
+// the query needs them. A lost request that has a replica less busy than those of the extra requests does not
+// wait for these.
 func (g *Gatherer) retryLostRequests(q *query, p *progress) {
 	missing := (p.needed - p.received) / p.needed
 	for _, r := range q.requests {
-		if p.expected >= p.needed-shareTolerance {
-			return
+		expected := p.expected
+		lost := len(r.attempts) > 0 && r.inFlight == 0
+		if lost && p.heldBack > 0 && g.leastInFlight(r) < p.heldBackLoad {
+			expected -= p.heldBack
+		}
+		if expected >= p.needed-shareTolerance {
+			continue
 		}
 		if !g.responseExpected(r) && g.retryNow(r, missing) && g.sendRetry(r) {
 			p.expected += r.Weight
@@ -145,6 +166,15 @@
 	}
 }
 
+// leastInFlight is how many attempts are in flight at the least busy replica of a request.
+func (g *Gatherer) leastInFlight(r *shardRequest) int {
+	least := math.MaxInt
+	for _, server := range g.servers.replicas[g.servers.replicaSet(r.Shard)] {
+		least = min(least, g.servers.inFlight(server))
+	}
+	return least
+}
+
 // responseExpected reports whether a request needs no further attempt.
 func (g *Gatherer) responseExpected(r *shardRequest) bool {
 	if r.succeeded || r.wanted && len(r.attempts) == 0 {
