--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -387,6 +387,27 @@
 	s.run()
 }
 
+// TestOldRecordsDoNotShedEveryQuery guards against a gatherer that rejects all it gets for up to 25 s, with idle servers: it
+// was slow itself when it measured them, and sends nothing by which it could learn.
+func TestOldRecordsDoNotShedEveryQuery(t *testing.T) {
+	playScenario(t, `
+		at 0: list 1:0 2:1 3:2 4:3
+		query 10,20,30,40 all 4 1000
+		at 950: result 11,12,13,14,21,22,23,24,31,32,33,34,41,42,43,44 succeeded
+		+ answer 10 true
+		at 1000: query 50 all 4 2000
+		+ reject 50 *
+		# Nothing is in flight, and the window of 5 s has passed.
+		at 7000: query 60 all 2 8000
+		+ send 61 *
+		at 7012: result 61,62 succeeded
+		+ answer 60 true
+		at 7100: query 70 all 4 8100
+		+ send 71 *
+		+ send 73 *
+	`)
+}
+
 // TestLostRequestBesideHeldBackExtraIsRetried guards against a query that waits for a busy server with its extra request
 // while another request is lost: the extra one counts as expected, so that nothing takes the lost one's place.
 func TestLostRequestBesideHeldBackExtraIsRetried(t *testing.T) {
