Logic: a query shed by old records alone is tried while nothing is in flight

Cause: a server with fewer than four records in the window of 5 s is judged by those of up to 25 s, and a query is shed by its slowest request. Who sheds all sends nothing, and the old records outvote the few new ones. Change: where only records older than the window speak for shedding, and the gatherer has nothing in flight, one query each 100 ms is admitted, as by a half-open circuit breaker; its attempts bring the records that decide from then on. It decides neither a mode nor a replica. TestTrialsOfUnmeasuredServersAreFew wants trials to be few and slow servers to be shed again; it fails with no interval, and without the look at what is in flight. The reference of callstats adds up the window's sums too.

--- a/logic/callstats/callstats.go
+++ b/logic/callstats/callstats.go
@@ -29,6 +29,13 @@
 	Latency            float64 // of those that succeeded
 	ExtraLatency       float64 // of those that failed
 	SuccessesSinceLoss float64 // infinite where none was lost
+	Recent             Recent
+}
+
+// Recent are the sums of the records within the window.
+type Recent struct {
+	Succeeded float64
+	Latency   float64 // of those that succeeded
 }
 
 // Limits say which records a server keeps.
@@ -199,6 +206,10 @@
 	s.sums = Sums{SuccessesSinceLoss: math.Inf(1)}
 	for i := range s.records {
 		s.sums.add(&s.records[i])
+		if r := &s.records[i]; r.Succeeded && r.EndedAt > now-limits.Window {
+			s.sums.Recent.Succeeded += r.Weight
+			s.sums.Recent.Latency += r.Weight * r.Latency
+		}
 	}
 	return len(s.records) > limits.MinRecords && s.records[0].EndedAt <= now-limits.Window
 }
--- a/logic/callstats/callstats_test.go
+++ b/logic/callstats/callstats_test.go
@@ -27,6 +27,8 @@
 				latencies = append(latencies, r.Latency)
 			}
 			if r.Succeeded && r.EndedAt > now-f.limits.Window {
+				s.Recent.Succeeded += r.Weight
+				s.Recent.Latency += r.Weight * r.Latency
 				window = append(window, r.Latency)
 			}
 		}
--- a/logic/decisions_test.go
+++ b/logic/decisions_test.go
@@ -146,7 +146,7 @@
 		hash, _ := traffic(1000+seed, func(*gather.Round) {})
 		fmt.Fprintln(sum, hash)
 	}
-	if got, want := sum.Sum64(), uint64(0x0eead029b95de608); got != want {
+	if got, want := sum.Sum64(), uint64(0xd4aeaec7fbfef26f); got != want {
 		t.Errorf("hash %#x, recorded was %#x", got, want)
 	}
 }
--- a/logic/estimates.go
+++ b/logic/estimates.go
@@ -27,6 +27,7 @@
 // estimate is what a server's records and attempts in flight say of it.
 type estimate struct {
 	latency              float64 // the paper's s: mean of those that succeeded; unknown without any
+	recentLatency        float64 // the same of those in the window alone
 	failureShare         float64 // the paper's f
 	extraLatency         float64 // the paper's r
 	cautiousFailureShare float64 // f with successes added, so that one failure proves little
@@ -166,6 +167,7 @@
 	}
 	s.estimate = estimate{
 		latency:              unknown,
+		recentLatency:        unknown,
 		failureShare:         failed / max(count, 1),
 		extraLatency:         e.shortestObjective / initialExtraDivisor,
 		cautiousFailureShare: failed / (count + failurePrior),
@@ -175,6 +177,9 @@
 	if sums.Succeeded > 0 {
 		s.estimate.latency = sums.Latency / sums.Succeeded
 	}
+	if recent := sums.Recent; recent.Succeeded > 0 {
+		s.estimate.recentLatency = recent.Latency / recent.Succeeded
+	}
 	if failed > 0 {
 		s.estimate.extraLatency = extra / failed
 	}
--- a/logic/load.go
+++ b/logic/load.go
@@ -100,6 +100,20 @@
 // queue grows, since it counts attempts that have ended; a load report or the age of attempts in flight
 // shows it sooner.
 func (e *latencyEstimator) expectedLatency(server int, now float64) float64 {
+	return e.expectedFrom(e.latency(server), server, now)
+}
+
+// expectedRecentLatency is the same by the records within the window alone, 0 where there are none.
+func (e *latencyEstimator) expectedRecentLatency(server int, now float64) float64 {
+	recent := e.servers.get(server).estimate.recentLatency
+	if recent < 0 {
+		return 0
+	}
+	return e.expectedFrom(recent, server, now)
+}
+
+// expectedFrom is what a request sent to a server now would take, which has taken the measured latency before.
+func (e *latencyEstimator) expectedFrom(measured float64, server int, now float64) float64 {
 	s := e.servers.get(server)
 	if s.load.requestedAt > 0 && now-s.load.requestedAt >= reportWaitMS {
 		return unresponsiveLatency
@@ -113,18 +127,17 @@
 	}
 	inFlight := float64(len(s.inFlight))
 	if now-s.load.receivedAt <= reportValidMS {
-		return e.reportedLatency(server, max(s.load.queueLength+sinceReport, inFlight))
+		return e.reportedLatency(measured, &s.load, max(s.load.queueLength+sinceReport, inFlight))
 	}
-	return max(e.latency(server), ageFactor*age/max(inFlight, 1))
+	return max(measured, ageFactor*age/max(inFlight, 1))
 }
 
 // reportedLatency is what a load report makes a request take behind a queue. The reported latency is that of
 // the work alone. It is clamped: a server that was slow reports so until it has answered more requests, which
 // nobody would send it. The measured latency holds the way and the queue already, and is not multiplied by
 // the queue once more unless it is all that is known of the work.
-func (e *latencyEstimator) reportedLatency(server int, queue float64) float64 {
-	report := &e.servers.get(server).load
-	measured := min(e.latency(server), maxReportMultiple*e.windowMedian)
+func (e *latencyEstimator) reportedLatency(measured float64, report *loadReport, queue float64) float64 {
+	measured = min(measured, maxReportMultiple*e.windowMedian)
 	work := min(report.latency, maxReportMultiple*e.windowMedian)
 	if report.latency < 0 {
 		work = measured
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -55,7 +55,8 @@
 	discovery subscription
 	queries   queryTable
 
-	nextWakeAt float64
+	nextWakeAt  float64
+	lastTrialAt float64 // when a query was last admitted for want of recent records
 }
 
 // New returns a gatherer that knows its settings and nothing of the servers.
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -408,6 +408,39 @@
 	`)
 }
 
+// TestTrialsOfUnmeasuredServersAreFew guards against servers that are still slow and get all queries again, as the records
+// which spoke for shedding these are older than the window.
+func TestTrialsOfUnmeasuredServersAreFew(t *testing.T) {
+	playScenario(t, `
+		at 0: list 1:0 2:1 3:2 4:3
+		query 10,20,30,40 all 4 1000
+		at 950: result 11,12,13,14,21,22,23,24,31,32,33,34,41,42,43,44 succeeded
+		# Server 1 alone is measured anew.
+		at 6500: query 50 all 1 7500
+		at 6512: result 51 succeeded
+		at 7000: query 60 all 2 8000
+		+ send 62 *
+		at 7012: result 61,62 succeeded
+		# One trial follows another after 100 ms, and of two queries at once one is admitted.
+		at 7050: query 70 all 4 8050
+		+ reject 70 *
+		at 7100: query 80,90 all 4 8100
+		4 send 8? *
+		- send 9? *
+		+ reject 90 *
+		# While it is in flight nothing new is known.
+		at 7250: query 100 all 4 8250
+		+ reject 100 *
+		# The servers are as slow as they were.
+		at 8000: result 81,82,83,84 succeeded
+		+ answer 80 true
+		at 8200: query 110 all 4 9200
+		+ reject 110 *
+		at 12500: query 120 all 4 13500
+		+ reject 120 *
+	`)
+}
+
 // TestLostRequestBesideHeldBackExtraIsRetried guards against a query that waits for a busy server with its extra request
 // while another request is lost: the extra one counts as expected, so that nothing takes the lost one's place.
 func TestLostRequestBesideHeldBackExtraIsRetried(t *testing.T) {
