Discovery: an undone drain takes effect at another agent and after a start

What callers saw: one server less. A server drains and is put back while discovery is silent; a gatherer that is given another agent meanwhile sends it nothing any more, until its next change. Cause: the other agent's list, which calls it running, is taken for older than the drain, as revisions of two agents do not compare. The watch that follows tells only later changes. The same after a start with a drain that an earlier process stored. Change: what an agent's list says against what is known is noted. 6 s after the move or the start, or after the last failed poll or list of a lower revision behind it, the full list is requested once more and counts: by the operators' terms a change counts as told then. A response that agrees before cancels it, so that an agent that catches up costs discovery no more. Why it is safe: what stands against the list is older than that moment, so that a list requested 6 s later, of an agent that was reached all the time, has it. One of a lower revision is guarded against again. Tests: without the recheck TestDrainUndoneDuringAMoveTakesEffect, TestRemovalUndoneDuringAMoveTakesEffect and TestStoredDrainThatIsUndoneTakesEffect fail ("not taken for 0 within 9s"). Without the guard these and the ones that hold a drain fail; if a failed poll does not begin the time anew, TestDrainHoldsAtAnAgentThatFallsSilentWhileBehind does. Older tests are as they were.

--- a/internal/gatherer/discovery/endpoints.go
+++ b/internal/gatherer/discovery/endpoints.go
@@ -20,7 +20,8 @@
 	addresses    map[uint32]shardcall.Address
 	order        []uint32 // keys of addresses, in the order of their arrival
 	observations map[string]observation
-	removedNames []string // removed servers with an observation, the oldest first
+	overruled    map[string]bool // servers of which the last list said otherwise, which may be older
+	removedNames []string        // removed servers with an observation, the oldest first
 }
 
 // observation is the newest known state of a server, by name.
@@ -36,13 +37,15 @@
 		nameByID:     map[uint32]string{},
 		addresses:    map[uint32]shardcall.Address{},
 		observations: map[string]observation{},
+		overruled:    map[string]bool{},
 	}
 }
 
 // apply takes over a response and returns the list or the change that follows from it.
 //
 // A full list of another agent, or of one that is behind, may be older than what is known. It reverts no drain and no
-// removal: one process is first running, then draining, then removed.
+// removal: one process is first running, then draining, then removed. The servers of which it says otherwise are noted as
+// overruled, until a response agrees or observations are adopted.
 func (t *endpointTable) apply(r *Response) gather.EndpointList {
 	list := gather.EndpointList{Full: r.Full}
 	if r.Full {
@@ -50,6 +53,7 @@
 			t.source++
 		}
 		clear(t.addresses)
+		clear(t.overruled)
 		t.order = t.order[:0]
 	}
 	for i := range r.members {
@@ -92,9 +96,14 @@
 		earlierProcess := m.UpSince < before.startedAt && state != gather.Removed
 		earlierState := m.UpSince == before.startedAt && state < before.state
 		if earlierProcess || earlierState {
+			t.overruled[m.ID] = true
 			return before.startedAt, before.state
 		}
 	}
+	delete(t.overruled, m.ID)
+	if m.markedDraining {
+		t.overruled[m.ID] = true
+	}
 	t.observations[m.ID] = observation{m.UpSince, state, t.source}
 	if state == gather.Removed {
 		if known && m.UpSince < before.startedAt { // a change may hold no more than the name
@@ -105,6 +114,15 @@
 	return m.UpSince, state
 }
 
+// adoptObservations has what is known count as told by the present agent, whose next full list is then not older unless
+// its revision is.
+func (t *endpointTable) adoptObservations() {
+	for name, o := range t.observations {
+		o.source = t.source
+		t.observations[name] = o
+	}
+}
+
 // rememberRemoved notes that a server is removed, and forgets the oldest such where there are too many.
 func (t *endpointTable) rememberRemoved(name string) {
 	t.removedNames = append(t.removedNames, name)
--- a/internal/gatherer/discovery/response.go
+++ b/internal/gatherer/discovery/response.go
@@ -30,6 +30,8 @@
 	Phase    string  `json:"phase"`
 	Size     float64 `json:"size"`
 	UpSince  float64 `json:"up_since_ms"` // Unix milliseconds
+
+	markedDraining bool // by MarkDraining, where the document says running
 }
 
 const phaseDraining = "terminating"
@@ -72,6 +74,7 @@
 		upSince, listed := draining[m.ID]
 		if listed && m.UpSince <= upSince && stateOfPhase[m.Phase] == gather.Running {
 			m.Phase = phaseDraining
+			m.markedDraining = true
 			marked++
 		}
 	}
--- a/internal/gatherer/discovery/watcher.go
+++ b/internal/gatherer/discovery/watcher.go
@@ -29,6 +29,9 @@
 	// stallTimeout bounds the pauses in an answer, watchBodyTimeout that of a long poll as a whole.
 	stallTimeout     = 500 * time.Millisecond
 	watchBodyTimeout = 3 * time.Second
+	// maxListAge is how long a list may be behind what another agent has told: by the operators' terms a change counts
+	// as told 6 s after discovery had it and could be reached.
+	maxListAge = 6 * time.Second
 	// maxBodyBytes has room for maxMembers entries of over 300 bytes.
 	maxBodyBytes = 32 << 20
 )
@@ -69,6 +72,7 @@
 	endpoints           *endpointTable
 	fullList            *fullListRequests // in flight, nil for none
 	watching            bool              // from the known revision on; otherwise the full list is needed first
+	recheckAt           time.Time         // when the full list is requested once more, zero for never
 	failing             bool              // the last poll failed, and this is logged
 	consecutiveFailures int               // of a shared service
 	requests            sync.WaitGroup
@@ -124,6 +128,7 @@
 	defer func() { w.fullList.cancelAll() }()
 	url, addressChanged := w.target()
 	w.endpoints.source++ // what was known at the start is of no agent
+	w.scheduleRecheck(true)
 	w.watching = w.canResume()
 	for ctx.Err() == nil {
 		select {
@@ -132,6 +137,7 @@
 			w.startOver()
 		default:
 		}
+		w.recheckIfDue()
 		startedAt := time.Now()
 		response, err := w.poll(ctx, url, addressChanged)
 		if errors.Is(err, errAddressChanged) {
@@ -160,6 +166,7 @@
 func (w *Watcher) startOver() {
 	w.watching = false
 	w.failing = false
+	w.recheckAt = time.Time{}
 	w.endpoints.source++
 	w.fullList.cancelAll()
 	w.fullList = nil
@@ -194,10 +201,34 @@
 	w.consecutiveFailures = 0
 	w.watching = w.watching || r.Full
 	changed := len(r.members) > 0 && r.Revision != w.endpoints.revision
+	sourceBefore := w.endpoints.source
 	w.Apply(r)
+	w.scheduleRecheck(w.endpoints.source != sourceBefore)
 	return changed
 }
 
+// scheduleRecheck has the full list requested once more where what is known contradicts the agent's and was kept. This
+// is due once the agent has been reached for maxListAge without a break; a break or an agent that falls behind begins
+// that time anew.
+func (w *Watcher) scheduleRecheck(anew bool) {
+	switch {
+	case len(w.endpoints.overruled) == 0:
+		w.recheckAt = time.Time{}
+	case anew || w.recheckAt.IsZero():
+		w.recheckAt = time.Now().Add(maxListAge)
+	}
+}
+
+// recheckIfDue has the next poll request the full list, and what it says take effect, where a recheck is due. A list
+// that is still missing after a break is no recheck: it may have been requested before.
+func (w *Watcher) recheckIfDue() {
+	if !w.watching || w.recheckAt.IsZero() || time.Now().Before(w.recheckAt) {
+		return
+	}
+	w.endpoints.adoptObservations()
+	w.watching = false
+}
+
 // reportFailure logs a failed poll, the first in a row at a level that is seen, and notifies the decisions.
 func (w *Watcher) reportFailure(err error) {
 	level := logrus.WarnLevel
@@ -211,6 +242,7 @@
 	w.config.OnChange(gather.EndpointList{Failed: true}, w.endpoints.list())
 	// A watch that broke may have missed changes.
 	w.watching = w.canResume() && !errors.Is(err, errStale)
+	w.scheduleRecheck(true)
 	w.failing = true
 }
 
