Testbed: a fleet that does not start tells why

What was seen: a panic (nil pointer in Fleet.Close) in the place of every error of StartFleet. Cause: "return nil, err" sets the named result f, on which the deferred function calls Close. Change: the fleet is a variable of StartFleet, and its parts are started by a method; on an error what has begun is closed. Test: TestFleetThatDoesNotStartTellsWhy, with a folder that is none and a program that is none; it panicked before.

--- a/internal/testbed/processtest/fleet.go
+++ b/internal/testbed/processtest/fleet.go
@@ -88,44 +88,48 @@
 	return "", nil, fmt.Errorf("no free loopback addresses: %w", err)
 }
 
-// StartFleet starts a fleet and waits until all of its gatherers are ready.
-func StartFleet(ctx context.Context, sc *Scenario, terms Terms) (f *Fleet, err error) {
-	f = &Fleet{Scenario: sc, terms: terms, links: map[string]*Link{},
+// StartFleet starts a fleet and waits until all of its gatherers are ready. Where that fails nothing of it is left.
+func StartFleet(ctx context.Context, sc *Scenario, terms Terms) (*Fleet, error) {
+	f := &Fleet{Scenario: sc, terms: terms, links: map[string]*Link{},
 		chance: pcg.New(sc.Seed), began: time.Now()}
-	defer func() {
-		if err != nil {
-			f.Close()
-		}
-	}()
-	if f.base, f.guard, err = addresses(); err != nil {
+	if err := f.start(ctx); err != nil {
+		f.Close()
 		return nil, err
 	}
-	f.truth = rulecheck.GroundTruth{Servers: map[uint32]rulecheck.Server{}, SlowStart: sc.Header().SlowStart}
+	return f, nil
+}
+
+// start starts all parts of a fleet, one after the other.
+func (f *Fleet) start(ctx context.Context) (err error) {
+	if f.base, f.guard, err = addresses(); err != nil {
+		return err
+	}
+	f.truth = rulecheck.GroundTruth{Servers: map[uint32]rulecheck.Server{}, SlowStart: f.Scenario.Header().SlowStart}
 	if f.Fleet, err = experiment.StartFleet(f.machines()); err != nil {
-		return nil, err
+		return err
 	}
 	for name, s := range f.Servers {
 		id := discovery.ServerID(name)
 		s.OnEvent(func(seen shardserver.Event) { f.see(id, seen) })
 	}
 	if err = f.layPolicyServers(); err != nil {
-		return nil, err
+		return err
 	}
 	if err = f.startPolicyServers(ctx); err != nil {
-		return nil, err
+		return err
 	}
-	for i := range sc.Gatherers.Count {
+	for i := range f.Scenario.Gatherers.Count {
 		g, err := f.layGatherer(i)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		f.Gatherers = append(f.Gatherers, g)
 	}
 	if err = f.startGatherers(ctx); err != nil {
-		return nil, err
+		return err
 	}
 	f.Front = newFront(f)
-	return f, nil
+	return nil
 }
 
 // machines are the servers' machines, which are noted in the ground truth.
--- a/internal/testbed/processtest/fleet_test.go
+++ b/internal/testbed/processtest/fleet_test.go
@@ -84,6 +84,30 @@
 	return ctx
 }
 
+// TestFleetThatDoesNotStartTellsWhy guards against a panic in the place of the error: the fleet's folder is no folder,
+// or the gatherers' program is none.
+func TestFleetThatDoesNotStartTellsWhy(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(file, nil, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name  string
+		terms Terms
+		want  string
+	}{
+		{"no folder", Terms{Binary: file, Folder: filepath.Join(file, "fleet")}, "not a directory"},
+		{"no program", Terms{Binary: file, Folder: t.TempDir()}, "permission denied"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f, err := StartFleet(minute(t), scenarioOf(t, small), c.terms)
+			if f != nil || err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("fleet %v, error %v, want %q", f, err, c.want)
+			}
+		})
+	}
+}
+
 // TestFleet: processes are killed, stopped, ended and started again, links are cut, fall silent and slow down, servers
 // die and drain, all by a timeline; the joined traces of all processes show that every rule was kept, and clients were
 // served all the while.
