Testbed: a soak in a folder in which another one plays is refused

What was seen (by issue): two soaks in one folder at the same time disturb each other. No file is left, and the end of the process releases the lock. Test: TestSoakInAFolderInUseIsRefused. Without the lock the second soak played and removed what stood in the folder.

--- a/cmd/yokeroute-testbed/soak.go
+++ b/cmd/yokeroute-testbed/soak.go
@@ -86,6 +86,11 @@
 	if err != nil {
 		return err
 	}
+	lock, err := soak.LockFolder(o.out)
+	if err != nil {
+		return err
+	}
+	defer lock.Close()
 	if o.race {
 		if o.program, err = processtest.Build("yokeroute"); err != nil {
 			return err
