Frontend: no connection is reset between the last accept and the close of the listener

Callers saw "connection reset by peer" on a new connection at the end of a gatherer's lame-duck period, rarely and in bursts: the process accepted what was queued, and was preempted before the next system call ended the listening. What the kernel had established in between was reset. So was a connection whose handshake was completed a moment later.

The listening socket is now bound to an interface that does not exist, for which no privilege is needed from Linux 5.7 on. The kernel refuses new connections from then on, completes handshakes under way, and keeps the queue. It is drained for 0.1 s and closed empty, so that the moment of the close no longer matters. The listener is a package of its own, internal/drainable, for the other servers that end over clients.

--- a/internal/gatherer/frontend/server.go
+++ b/internal/gatherer/frontend/server.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"yokeroute/gather"
+	"yokeroute/internal/drainable"
 	"yokeroute/internal/gatherer/dispatch"
 )
 
@@ -73,7 +74,9 @@
 
 	serveDone chan struct{} // closed once Serve has returned
 	mu        sync.Mutex
-	listener  *trackingListener
+	listener  *drainable.Listener
+
+	handshakeTimeout time.Duration // handshakeTimeout, but for tests
 }
 
 // shutdownState is how far a shutdown has come.
@@ -94,6 +97,8 @@
 		admin:     map[string]http.Handler{},
 		active:    activeQueries{byID: map[string]*activeQuery{}},
 		serveDone: make(chan struct{}),
+
+		handshakeTimeout: handshakeTimeout,
 	}
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.serveRequest),
@@ -112,12 +117,12 @@
 
 // Serve accepts connections until Shutdown has ended.
 func (s *Server) Serve(l net.Listener) error {
-	tracked := &trackingListener{Listener: l, tracker: s.conns}
+	listener := drainable.NewListener(l)
 	s.mu.Lock()
-	s.listener = tracked
+	s.listener = listener
 	s.mu.Unlock()
 	defer close(s.serveDone)
-	err := s.http.Serve(tracked)
+	err := s.http.Serve(&trackingListener{Listener: listener, tracker: s.conns})
 	if s.shutdown.started.Load() { // Shutdown has closed the listener
 		return nil
 	}
--- a/internal/gatherer/frontend/shutdown.go
+++ b/internal/gatherer/frontend/shutdown.go
@@ -11,6 +11,10 @@
 	// balancer in front of the gatherer notices that late, and a request may cross the close of an idle one.
 	lameDuckPeriod = 600 * time.Millisecond
 
+	// handshakeTimeout is how long a handshake that is under way at the end of the lame-duck period may take still. New
+	// ones are refused meanwhile. It covers the way in a network, and a kernel that is late on a busy machine.
+	handshakeTimeout = 100 * time.Millisecond
+
 	// killTimeout is the least time between the end of the lame-duck period and the platform's kill. With settings
 	// that allow no query so much time the kill may come sooner.
 	killTimeout = 3 * time.Second
@@ -54,8 +58,8 @@
 	return s.errorLog.Close()
 }
 
-// closeListener accepts the connections that clients have established, ends Serve and waits for it, so that every
-// connection is counted.
+// closeListener accepts the connections that clients have established or are establishing, ends Serve and waits for it,
+// so that every connection is counted.
 func (s *Server) closeListener(ctx context.Context) {
 	s.mu.Lock()
 	l := s.listener
@@ -63,7 +67,7 @@
 	if l == nil {
 		return
 	}
-	l.drain()
+	l.Drain(s.handshakeTimeout)
 	select {
 	case <-s.serveDone:
 	case <-ctx.Done(): // more clients come than can be accepted
