Reports: requests that have come are answered when the gatherer ends

Clients of a gatherer's reports, metrics and claims saw a reset or an end of file when it ended as planned: http.Server.Close closed the listener over connections that were established and not accepted, and the connections under requests being served.

A new package, internal/httpserver, ends a server in order: it drains the listener (internal/drainable), has each response end its connection, and awaits the connections on which a request is read or served. http.Server.Shutdown does not do: it closes the listener first, and drops requests that it reads afterwards. The end is bounded: 0.1 s here, and 0.01 s without clients.

TestEndAnswersWhatClientsHaveSent ends the server between the halves of a claim, and before a connection's handshake is completed. The package's own tests hold the queue back over the end, and have a handler and a client that never come to an end.

--- a/internal/gatherer/report/server.go
+++ b/internal/gatherer/report/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
+	"yokeroute/internal/httpserver"
 	"yokeroute/logic/rollout"
 )
 
@@ -39,23 +39,32 @@
 	maxClaimDuration = 10 * time.Minute
 )
 
+// endTimeouts keep the end short, as that of the gatherer waits for it.
+var endTimeouts = httpserver.Timeouts{Handshakes: 10 * time.Millisecond, Requests: 100 * time.Millisecond}
+
 // Server serves reports, metrics and claims. It has its own listener, so that its clients never delay queries.
 type Server struct {
 	collector *Collector
 	ready     func() bool
 	listener  net.Listener
-	http      *http.Server
+	http      *httpserver.Server
 	log       *logrus.Logger
 }
 
 // Listen opens the listener. Run serves; a server that is never run has to be closed.
 func Listen(address string, collector *Collector, ready func() bool, log *logrus.Logger) (*Server, error) {
+	return listen(address, collector, ready, log, endTimeouts)
+}
+
+func listen(
+	address string, collector *Collector, ready func() bool, log *logrus.Logger, timeouts httpserver.Timeouts,
+) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("report: %w", err)
 	}
 	s := &Server{collector: collector, ready: ready, listener: listener, log: log}
-	s.http = &http.Server{
+	server := &http.Server{
 		Handler:           s.handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
@@ -63,6 +72,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	s.http = httpserver.New(listener, server, timeouts)
 	return s, nil
 }
 
@@ -81,18 +91,22 @@
 // Address is where the server listens.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends, and answers the requests that have come.
 func (s *Server) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { s.http.Close() })
-	defer stop()
-	if err := s.http.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	s.http.Start()
+	select {
+	case <-ctx.Done():
+	case err := <-s.http.Failed():
 		s.log.WithError(err).Error("report: server failed")
 	}
+	if err := s.Close(); err != nil {
+		s.log.WithError(err).Error("report: server not closed")
+	}
 }
 
 // Close closes the listener. It is for a server that is never run; after Run it does nothing.
 func (s *Server) Close() error {
-	if err := s.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+	if err := s.http.Close(); err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
 	return nil
--- a/internal/gatherer/report/server_test.go
+++ b/internal/gatherer/report/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -13,6 +14,8 @@
 	"github.com/sirupsen/logrus"
 
 	"yokeroute/internal/gatherer/dispatch"
+	"yokeroute/internal/httpserver"
+	"yokeroute/internal/testbed/lateclient"
 	"yokeroute/logic/rollout"
 )
 
@@ -120,3 +123,35 @@
 		t.Errorf("released: %d", status)
 	}
 }
+
+// TestEndAnswersWhatClientsHaveSent guards against requests that are reset by the end of the server: of one a part has
+// come, and the other one's connection is established by its client and not accepted.
+func TestEndAnswersWhatClientsHaveSent(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	collector := NewCollector("g", testSettings(), func() float64 { return 1000 }, fixedConnections{})
+	patient := httpserver.Timeouts{Handshakes: time.Second, Requests: 10 * time.Second} // for a busy machine
+	s, err := listen("127.0.0.1:0", collector, func() bool { return true }, log, patient)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		s.Run(ctx)
+		close(ended)
+	}()
+	const body = `{"run":"r1","fence":1,"for":1000}`
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", ClaimPath, len(body))
+	begun := lateclient.Dial(t, s.Address())
+	begun.Send(head + body[:9])
+	lateclient.CompleteHandshakesWithData(t, s.listener)
+	queued := lateclient.Dial(t, s.Address())
+	stop()
+	lateclient.AwaitRefusal(t, s.Address())
+	begun.Send(body[9:])
+	queued.Send("GET " + ReportPath + " HTTP/1.1\r\nHost: h\r\n\r\n")
+	begun.WantLastResponse(http.StatusOK)
+	queued.WantLastResponse(http.StatusOK)
+	<-ended
+}
