Policy server: requests that have come are answered when it ends

Gatherers and operators saw a reset or an end of file when a policy server ended as planned, also under a proposal that was being read: it closed its listener over connections that were not accepted yet, and all connections at once. A poll, which waits up to a minute for news, never got its answer.

The server ends by internal/httpserver, as that of reports does. A poll that waits is answered at once, as when its wait is over; other requests have 1 s. The loop that decides, and the verification of leadership, go on meanwhile: until then they ended first, and no request could be answered any more. Raft's own 5 s come after that.

TestEndAnswersWhatClientsHaveSent ends the server between the halves of a request, under a poll that waits, and before a connection's handshake is completed.

--- a/internal/control/policyserver/kept_test.go
+++ b/internal/control/policyserver/kept_test.go
@@ -81,7 +81,7 @@
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
-	return s.http.listener.Addr().String(), c, func() {
+	return s.listener.Addr().String(), c, func() {
 		cancel()
 		if err := <-ended; err != nil {
 			t.Error(err)
--- a/internal/control/policyserver/server.go
+++ b/internal/control/policyserver/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/hashicorp/raft"
 	"github.com/sirupsen/logrus"
 
+	"yokeroute/internal/httpserver"
 	"yokeroute/logic/policy"
 )
 
@@ -21,6 +23,14 @@
 	maxReviewInterval = 200 * time.Millisecond
 )
 
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = time.Minute
+)
+
+// endTimeouts leave raft time to end within that of the process.
+var endTimeouts = httpserver.Timeouts{Handshakes: 50 * time.Millisecond, Requests: time.Second}
+
 // Server is a running policy server.
 type Server struct {
 	config       *Config
@@ -30,8 +40,9 @@
 	incarnations *incarnationStore
 	verifier     *leadershipVerifier
 	replica      atomic.Pointer[replica] // nil until the server takes part in the quorum
-	http         *httpServer
-	changed      chan struct{} // signalled when the leader has handled a heartbeat
+	listener     net.Listener
+	http         *httpserver.Server // nil until the server listens
+	changed      chan struct{}      // signalled when the leader has handled a heartbeat
 
 	mu     sync.Mutex
 	leader *policy.Leader // nil while another server leads
@@ -39,7 +50,11 @@
 
 // Open starts a policy server. It listens and takes part in the quorum once Open returns; Run makes it serve. With
 // ErrStaleDisk it must not be started again from this disk.
-func Open(ctx context.Context, c *Config, log *logrus.Logger) (_ *Server, err error) {
+func Open(ctx context.Context, c *Config, log *logrus.Logger) (*Server, error) {
+	return open(ctx, c, log, endTimeouts)
+}
+
+func open(ctx context.Context, c *Config, log *logrus.Logger, timeouts httpserver.Timeouts) (_ *Server, err error) {
 	s := newServer(c, log)
 	defer func() {
 		if err != nil {
@@ -49,15 +64,14 @@
 	if err := os.MkdirAll(c.Folder, 0o755); err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", c.Listen)
-	if err != nil {
+	if s.listener, err = net.Listen("tcp", c.Listen); err != nil {
 		return nil, err
 	}
-	s.http = newHTTPServer(listener, s.handler())
+	s.http = httpserver.New(s.listener, s.newHTTPServer(), timeouts)
 	if s.incarnations, err = openIncarnations(c.Folder); err != nil {
 		return nil, err
 	}
-	s.http.start()
+	s.http.Start()
 	if err := s.incarnations.begin(ctx, c, log); err != nil {
 		return nil, err
 	}
@@ -83,6 +97,14 @@
 	return s
 }
 
+func (s *Server) newHTTPServer() *http.Server {
+	return &http.Server{
+		Handler:           s.handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
 // isLeader reports whether the server is the leader by its own state.
 func (s *Server) isLeader() bool {
 	r := s.replica.Load()
@@ -95,35 +117,40 @@
 // now returns the server's monotonic clock, in milliseconds.
 func (s *Server) now() float64 { return milliseconds(time.Since(s.startedAt)) }
 
-// Run serves until ctx ends, and closes the server.
+// Run serves until ctx ends, answers the requests that have come, and closes the server.
 func (s *Server) Run(ctx context.Context) (err error) {
-	ctx, cancel := context.WithCancel(ctx)
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx)) // past the end of ctx, until requests are answered
 	var wait sync.WaitGroup
 	defer func() {
-		cancel()
 		closed := s.close()
+		stop()
 		wait.Wait()
 		err = errors.Join(err, closed)
 	}()
-	wait.Go(func() { s.verifier.run(ctx) })
+	wait.Go(func() { s.verifier.run(serving) })
+	cancelEnd := context.AfterFunc(ctx, func() {
+		_ = s.http.Close() // close returns its error
+		stop()
+	})
+	defer cancelEnd()
 	review := time.NewTicker(min(s.config.Lease/leaseReviews, maxReviewInterval))
 	defer review.Stop()
 	leadership := s.replica.Load().LeaderCh()
 	_, recordChanged := s.fsm.current()
 	for {
 		select {
-		case <-ctx.Done():
+		case <-serving.Done():
 			return nil
-		case err := <-s.http.failed:
+		case err := <-s.http.Failed():
 			return err
 		case <-s.changed:
 		case isLeader := <-leadership:
-			s.onLeadership(ctx, isLeader)
+			s.onLeadership(serving, isLeader)
 		case <-recordChanged:
 		case <-review.C:
 		}
 		_, recordChanged = s.fsm.current()
-		s.decide(ctx)
+		s.decide(serving)
 	}
 }
 
@@ -131,7 +158,7 @@
 func (s *Server) close() error {
 	var errs []error
 	if s.http != nil {
-		errs = append(errs, s.http.close())
+		errs = append(errs, s.http.Close())
 	}
 	if r := s.replica.Load(); r != nil {
 		errs = append(errs, r.Close())
--- a/internal/control/policyserver/server_test.go
+++ b/internal/control/policyserver/server_test.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.http.listener.Close()
+	s.listener.Close()
 	if err := s.Run(t.Context()); err == nil || !strings.Contains(err.Error(), "HTTP server on 127.0.0.1:") {
 		t.Errorf("%v", err)
 	}
--- a/internal/control/policyserver/shutdown_test.go
+++ b/internal/control/policyserver/shutdown_test.go
@@ -2,12 +2,20 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/raft"
+
+	"yokeroute/internal/control/policyapi"
+	"yokeroute/internal/httpserver"
+	"yokeroute/internal/testbed/lateclient"
+	"yokeroute/logic/policy"
 )
 
 // endTimeout is within which a policy server has to end once its context does.
@@ -72,3 +80,63 @@
 	cancel()
 	awaitEnd(t, ended)
 }
+
+// TestEndAnswersWhatClientsHaveSent guards against requests that are reset by the end of the server: of one a part has
+// come, one is a poll that waits for news, and the last one's connection is established by its client and not accepted.
+func TestEndAnswersWhatClientsHaveSent(t *testing.T) {
+	patient := httpserver.Timeouts{Handshakes: time.Second, Requests: endTimeout / 2} // for a busy machine
+	s, err := open(t.Context(), singleServer(t), quietLog(), patient)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	address := s.listener.Addr().String()
+	awaitRecord(t, address)
+	begun := lateclient.Dial(t, address)
+	head, body := requestText(t, policyapi.AbandonPath, policyapi.AbandonRequest{Format: policyapi.Format, Number: 7})
+	begun.Send(head + body[:9])
+	polling := lateclient.Dial(t, address)
+	sendWaitingPoll(t, s, polling)
+	lateclient.CompleteHandshakesWithData(t, s.listener)
+	queued := lateclient.Dial(t, address)
+	cancel()
+	lateclient.AwaitRefusal(t, address)
+	begun.Send(body[9:])
+	queued.Send("GET " + policyapi.StatusPath + " HTTP/1.1\r\nHost: h\r\n\r\n")
+	begun.WantLastResponse(http.StatusConflict) // there is no such change
+	polling.WantLastResponse(http.StatusOK)
+	queued.WantLastResponse(http.StatusOK)
+	awaitEnd(t, ended)
+}
+
+// requestText returns a request's head and its document.
+func requestText(t *testing.T, path string, doc any) (head, body string) {
+	t.Helper()
+	text, err := json.Marshal(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", path, len(text)), string(text)
+}
+
+// sendWaitingPoll sends a poll for which there is no news, and returns once the leader has handled it.
+func sendWaitingPoll(t *testing.T, s *Server, c *lateclient.Client) {
+	t.Helper()
+	record, _ := s.fsm.current()
+	update := record.Update()
+	head, body := requestText(t, policyapi.PollPath, policyapi.PollRequest{
+		Format: policyapi.Format,
+		Heartbeat: policy.Heartbeat{
+			Member:      policy.Member{Name: "g1", KnownKinds: policy.Kinds()},
+			Incarnation: "p1",
+			Applied:     update.Revision(),
+		},
+		WaitMillis: 60_000,
+	})
+	c.Send(head + body)
+	for handled := false; !handled; time.Sleep(time.Millisecond) {
+		s.withLeader(func(l *policy.Leader, now float64) { handled = len(l.MemberStatuses(now)) > 0 })
+	}
+}
