Soak: a lost try tells of its gatherer's SIGTERM and of the relay's refused connections

Whether the gatherer or the rig's relay had reset the connection could not be told.

A lost try now names the last of its gatherer's processes that was sent SIGTERM, by whomever, with the time since; and how many connections of the relay were refused while the try lasted, each of which the relay turns into a reset. The process records each signal that it is sent already.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"runtime"
-	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -166,10 +165,18 @@
 }
 
 // Sent reports whether it was sent a signal.
-func (p *Process) Sent(sig syscall.Signal) bool {
+func (p *Process) Sent(sig syscall.Signal) bool { return !p.SentAt(sig).IsZero() }
+
+// SentAt returns when it was first sent a signal, the zero time where it was not.
+func (p *Process) SentAt(sig syscall.Signal) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.signals, func(s sentSignal) bool { return s.signal == sig })
+	for _, s := range p.signals {
+		if s.signal == sig {
+			return s.at
+		}
+	}
+	return time.Time{}
 }
 
 // Stopped reports whether it was stopped by SIGSTOP and not let go on.
--- a/internal/testbed/processtest/gatherer.go
+++ b/internal/testbed/processtest/gatherer.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -65,6 +66,19 @@
 	return g.process
 }
 
+// lastTermination returns the newest of its processes that was sent SIGTERM, whoever sent it, and how long ago that was;
+// no name where none was.
+func (g *Gatherer) lastTermination() (name string, since time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range slices.Backward(g.processes) {
+		if at := p.SentAt(syscall.SIGTERM); !at.IsZero() {
+			return p.Name, time.Since(at)
+		}
+	}
+	return "", 0
+}
+
 // ConfigFile and OperatorFile are what it reads.
 func (g *Gatherer) ConfigFile() string { return filepath.Join(g.Folder, "config.json") }
 
--- a/internal/testbed/processtest/losttry.go
+++ b/internal/testbed/processtest/losttry.go
@@ -27,7 +27,10 @@
 	Took       time.Duration `json:"took"`
 	Fault      string        `json:"fault,omitempty"` // the last one that struck its gatherer
 	SinceFault time.Duration `json:"since,omitempty"`
-	Starved    time.Duration `json:"starved"` // for which threads of its gatherer waited for a processor meanwhile
+	Terminated string        `json:"terminated,omitempty"` // the last of its gatherer's processes that was sent SIGTERM
+	SinceTerm  time.Duration `json:"since_term,omitempty"` // since that SIGTERM, whoever sent it
+	Refused    int           `json:"refused,omitempty"`    // connections of the relay that its gatherer refused meanwhile
+	Starved    time.Duration `json:"starved"`              // for which its gatherer's threads waited for a processor meanwhile
 	Error      string        `json:"error"`
 }
 
@@ -36,8 +39,15 @@
 	if l.Fault != "" {
 		since = fmt.Sprintf("%.2f s after %s", l.SinceFault.Seconds(), l.Fault)
 	}
+	if l.Terminated != "" {
+		since += fmt.Sprintf(", %.3f s after SIGTERM to %s", l.SinceTerm.Seconds(), l.Terminated)
+	}
+	kind := string(l.Kind)
+	if l.Refused > 0 {
+		kind += fmt.Sprintf(" (%d connections of the relay refused meanwhile)", l.Refused)
+	}
 	return fmt.Sprintf("%s at %s, %s, after %v, of which its threads waited %v for a processor: %s: %s", l.Name,
-		l.Gatherer, since, l.Took.Round(time.Millisecond), l.Starved.Round(time.Millisecond), l.Kind, l.Error)
+		l.Gatherer, since, l.Took.Round(time.Millisecond), l.Starved.Round(time.Millisecond), kind, l.Error)
 }
 
 // lostTry describes a try that ends now.
@@ -47,6 +57,10 @@
 	target.starvation.sample(target.gatherer.Process())
 	lost.Starved = target.starvation.since(try.StartedAt)
 	lost.Fault, lost.SinceFault = target.gatherer.lastFault()
+	lost.Terminated, lost.SinceTerm = target.gatherer.lastTermination()
+	if link := f.Link("front:" + target.gatherer.Name); link != nil {
+		lost.Refused = link.refusedSince(try.StartedAt)
+	}
 	return lost
 }
 
--- a/internal/testbed/processtest/relay.go
+++ b/internal/testbed/processtest/relay.go
@@ -46,6 +46,7 @@
 	conns   map[*relayed]bool
 	chance  *pcg.Source
 	counts  Passed
+	refused []time.Time // when the far side did not take a connection
 	wait    sync.WaitGroup
 }
 
@@ -219,6 +220,7 @@
 	}
 	far, err := net.DialTimeout("tcp", k.target, 5*time.Second)
 	if err != nil { // a far side that refuses is a near side that is reset
+		k.noteRefused()
 		k.drop(r)
 		r.reset()
 		return
@@ -243,6 +245,22 @@
 	far.Close()
 }
 
+func (k *Link) noteRefused() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.refused = append(k.refused, time.Now())
+}
+
+// refusedSince counts the connections that the far side has not taken since a time: each was reset at the near side.
+func (k *Link) refusedSince(from time.Time) (count int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i := len(k.refused) - 1; i >= 0 && !k.refused[i].Before(from); i-- {
+		count++
+	}
+	return count
+}
+
 func (k *Link) hold(r *relayed) {
 	k.mu.Lock()
 	k.conns[r] = true
