Rollout: a controller that was taken over from no longer hides a running step

Cause: all controllers recorded a step's process in one file, and looked after that whether another had taken over. One that was stopped while it waited for an earlier step, and went on after its successor had begun the step, put its own process in the place of the successor's, was refused and ran nothing. The next controller read the record of a process that had ended. Each controller records in a folder of its own now and waits for what any of them recorded. A command runs only if nobody had taken over after its record, so that whoever takes over finds it.

--- a/internal/control/rollout/commandstep.go
+++ b/internal/control/rollout/commandstep.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -41,7 +42,9 @@
 	cmd := s.build(ctx, g, to, f.token)
 	cmd.Stdout = &output
 	cmd.Stderr = &output
-	err := startRecorded(cmd, func(pid int) error { return cmp.Or(s.recordProcess(g, pid), f.check()) })
+	err := startRecorded(cmd, func(pid int) error {
+		return cmp.Or(s.recordProcess(g, pid), s.recordProcessOf(f.token, g, pid), f.check())
+	})
 	if err == nil {
 		err = cmd.Wait()
 	}
@@ -79,23 +82,64 @@
 	return cmd
 }
 
+// processFile names the command that was started last for a gatherer, by any controller. Controllers of earlier versions
+// read it alone.
 func (s commandStepper) processFile(g int) string {
 	return filepath.Join(s.plan.Folder, "run", s.plan.Gatherers[g].Name+".step")
 }
 
-// recordProcess records the process of a gatherer's step for a later controller.
+// stepsFolder holds a folder for each controller, by its fencing token.
+func (s commandStepper) stepsFolder() string { return filepath.Join(s.plan.Folder, "run", "steps") }
+
+// processFileOf names the command that the controller with a fencing token started last for a gatherer.
+func (s commandStepper) processFileOf(controller string, g int) string {
+	return filepath.Join(s.stepsFolder(), controller, s.plan.Gatherers[g].Name+".step")
+}
+
+// recordProcess records the process of a gatherer's step for a later controller of an earlier version.
 func (s commandStepper) recordProcess(g, pid int) error {
 	return writeProcessRecord(s.processFile(g), recordOf(pid))
 }
 
-// awaitPrevious waits for the end of a command that an earlier controller has started for the gatherer, since two at
+// recordProcessOf records the process of a gatherer's step for later controllers. No other controller writes there: one
+// that has been taken over from notices only after its record, and would replace that of its successor.
+func (s commandStepper) recordProcessOf(fencingToken uint64, g, pid int) error {
+	return writeProcessRecord(s.processFileOf(strconv.FormatUint(fencingToken, 10), g), recordOf(pid))
+}
+
+// recordedProcesses returns the processes that controllers have recorded for a gatherer's steps.
+func (s commandStepper) recordedProcesses(g int) ([]processRecord, error) {
+	files := []string{s.processFile(g)}
+	controllers, err := os.ReadDir(s.stepsFolder())
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, err
+	}
+	for _, controller := range controllers {
+		files = append(files, s.processFileOf(controller.Name(), g))
+	}
+	var records []processRecord
+	for _, file := range files {
+		if record, ok := readProcessRecord(file); ok {
+			records = append(records, record)
+		}
+	}
+	return records, nil
+}
+
+// awaitPrevious waits for the end of commands that earlier controllers have started for the gatherer, since two at
 // once would disturb each other. One that exceeds its time is killed.
 func (s commandStepper) awaitPrevious(ctx context.Context, g int, timeout time.Duration) error {
-	previous, ok := readProcessRecord(s.processFile(g))
-	if !ok {
-		return nil
+	records, err := s.recordedProcesses(g)
+	if err != nil {
+		return err
+	}
+	for _, previous := range records {
+		kill := func() { sendSignal(-previous.pid, syscall.SIGKILL) }
+		if err := awaitEnd(ctx, previous.running, timeout, kill); err != nil {
+			return err
+		}
 	}
-	return awaitEnd(ctx, previous.running, timeout, func() { sendSignal(-previous.pid, syscall.SIGKILL) })
+	return nil
 }
 
 // awaitEnd waits until a process no longer runs, and kills it after a time.
