Rollout: a controller's number is taken by one controller only

Cause: taking a token was a read and a write. A controller that was stopped between the two wrote, as it went on, the token that its successor had taken meanwhile, and all that keeps controllers apart compares this number. The token is read before the lock is asked for: a controller that has the lock and finds the next token taken has been taken over from, and ends. A process that made its folder and was killed is skipped, as was one that had made none: TestProcessThatRecordedNothingIsSkipped, which passed before.

--- a/internal/storage/runfolder/runfolder.go
+++ b/internal/storage/runfolder/runfolder.go
@@ -58,10 +58,14 @@
 		return nil, err
 	}
 	f := &Folder{path: path}
+	previous, err := readToken(path) // before the lock, so that no takeover goes unnoticed behind it
+	if err != nil {
+		return nil, err
+	}
 	if err := f.acquireLock(); err != nil && (!force || !errors.Is(err, ErrLocked)) {
 		return nil, err
 	}
-	if err := f.acquireToken(); err != nil {
+	if err := f.acquireToken(previous); err != nil {
 		f.Close()
 		return nil, err
 	}
@@ -85,19 +89,55 @@
 	return fmt.Errorf("%s: %w", file.Name(), err)
 }
 
-func (f *Folder) acquireToken() error {
-	previous, err := readToken(f.path)
-	if err != nil {
+// acquireToken takes the token that follows the highest one, which was previous. The folder of the token's journal is
+// made by one process only. One that finds it made has been taken over from if it holds the lock; without the lock it
+// takes over in its turn.
+func (f *Folder) acquireToken(previous uint64) error {
+	if err := os.MkdirAll(f.file(journalsFolder), 0o755); err != nil {
 		return err
 	}
-	f.FencingToken = previous + 1
-	return atomicfile.Write(f.file(tokenFile), fmt.Appendf(nil, "%d\n", f.FencingToken))
+	for {
+		f.FencingToken = previous + 1
+		err := os.Mkdir(journalFolder(f.path, f.FencingToken), 0o755)
+		if err == nil {
+			return atomicfile.Write(f.file(tokenFile), fmt.Appendf(nil, "%d\n", f.FencingToken))
+		}
+		if !errors.Is(err, fs.ErrExist) {
+			return err
+		}
+		if f.lock != nil {
+			return fmt.Errorf("%w while this one began", ErrSuperseded)
+		}
+		if previous, err = readToken(f.path); err != nil {
+			return err
+		}
+	}
 }
 
 func (f *Folder) file(name string) string { return filepath.Join(f.path, name) }
 
-// readToken returns the highest token taken so far, 0 for none.
+// readToken returns the highest token taken so far, 0 for none. Processes of earlier versions, which made no folder
+// before they wrote the token's file, and processes that were held up before they wrote it, leave only one of the two.
 func readToken(path string) (uint64, error) {
+	written, err := readTokenFile(path)
+	if err != nil {
+		return 0, err
+	}
+	journals, err := os.ReadDir(filepath.Join(path, journalsFolder))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return 0, err
+	}
+	highest := written
+	for _, journal := range journals {
+		if token, err := strconv.ParseUint(journal.Name(), 10, 64); err == nil {
+			highest = max(highest, token)
+		}
+	}
+	return highest, nil
+}
+
+// readTokenFile returns the token that was written last, 0 for none.
+func readTokenFile(path string) (uint64, error) {
 	name := filepath.Join(path, tokenFile)
 	text, err := os.ReadFile(name)
 	if errors.Is(err, fs.ErrNotExist) {
--- a/internal/storage/runfolder/runfolder_test.go
+++ b/internal/storage/runfolder/runfolder_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bytes"
+	"errors"
 	"io/fs"
 	"maps"
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
+
+	"yokeroute/internal/storage/atomicfile"
 )
 
 // The folder in testdata/kept is that of the version that wrote it. It may not be changed: a controller that is replaced
@@ -101,3 +105,114 @@
 	writeRun(t, written)
 	wantFolder(t, written, "run")
 }
+
+// TestTokensAreTakenOnce guards against two processes that carry out one operation, each sure that the other does not: they
+// took it over at the same time and hold the same token.
+func TestTokensAreTakenOnce(t *testing.T) {
+	const processes = 16
+	folder := t.TempDir()
+	tokens := make([]uint64, processes)
+	var all sync.WaitGroup
+	for i := range tokens {
+		all.Go(func() {
+			f, err := Open(folder, true)
+			if err != nil && !errors.Is(err, ErrSuperseded) { // one holds the lock, and may find that it was overtaken
+				t.Error(err)
+			}
+			if err == nil {
+				tokens[i] = f.FencingToken
+				f.Close()
+			}
+		})
+	}
+	all.Wait()
+	holders := map[uint64]int{}
+	for i, token := range tokens {
+		if first, taken := holders[token]; taken && token > 0 {
+			t.Errorf("processes %d and %d hold the token %d", first, i, token)
+		}
+		holders[token] = i
+	}
+}
+
+// TestProcessTakenOverWhileItBeginsIsRefused guards against two controllers with one token: one was stopped between reading
+// the token and taking the next, while another one took over, and went on.
+func TestProcessTakenOverWhileItBeginsIsRefused(t *testing.T) {
+	folder := t.TempDir()
+	stopped := &Folder{path: folder}
+	previous, err := readToken(folder)
+	if err == nil {
+		err = stopped.acquireLock()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stopped.Close()
+	next, err := Open(folder, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	if err := stopped.acquireToken(previous); !errors.Is(err, ErrSuperseded) {
+		t.Errorf("the stopped process goes on with token %d, %v", stopped.FencingToken, err)
+	}
+	if err := next.CheckSuperseded(); err != nil {
+		t.Errorf("the one that has taken over: %v", err)
+	}
+}
+
+// TestLateTokenFileDoesNotRevertToken guards against a process that is stopped before it writes the token's file, and
+// writes a lower token there than that of a process which has taken over.
+func TestLateTokenFileDoesNotRevertToken(t *testing.T) {
+	folder := t.TempDir()
+	first, err := Open(folder, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	second, err := Open(folder, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	if err := atomicfile.Write(first.file(tokenFile), []byte("1\n")); err != nil {
+		t.Fatal(err)
+	}
+	if err := second.CheckSuperseded(); err != nil {
+		t.Errorf("the second: %v", err)
+	}
+	if err := first.CheckSuperseded(); !errors.Is(err, ErrSuperseded) {
+		t.Errorf("the first: %v", err)
+	}
+}
+
+// TestProcessThatRecordedNothingIsSkipped guards against records that are lost behind a process which was killed right
+// after it had taken its token.
+func TestProcessThatRecordedNothingIsSkipped(t *testing.T) {
+	folder := t.TempDir()
+	if err := os.CopyFS(folder, os.DirFS(filepath.Join("testdata", "kept", "run"))); err != nil {
+		t.Fatal(err)
+	}
+	killed, err := Open(folder, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	killed.Close()
+	count := 0
+	visit := func([]byte) error {
+		count++
+		return nil
+	}
+	if err := ReadJournal(folder, visit); err != nil || count != 3 {
+		t.Errorf("read %d records, %v", count, err)
+	}
+	next, err := Open(folder, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	count = 0
+	if err := next.Recover(visit); err != nil || count != 3 || next.FencingToken != 4 {
+		t.Errorf("recovered %d records as %d, %v", count, next.FencingToken, err)
+	}
+}
