--- a/internal/testbed/soak/controllers.go
+++ b/internal/testbed/soak/controllers.go
@@ -67,6 +67,7 @@
 	p, err := process.Start(fmt.Sprint("controller.", number+1), d.program, args, nil)
 	if err == nil {
 		p.ExpectExit()
+		d.controllers = append(d.controllers, p)
 	}
 	return p, err
 }
--- a/internal/testbed/soak/rollouts.go
+++ b/internal/testbed/soak/rollouts.go
@@ -52,6 +52,7 @@
 
 	supersessions *pcg.Source      // whether a controller that is stopped is taken over from
 	running       *process.Process // the controller that has taken over, nil for none
+	controllers   []*process.Process
 
 	mu       sync.Mutex
 	stepping map[string]bool // gatherers with a step under way
@@ -74,6 +75,7 @@
 		return err
 	}
 	disturbed, err := d.runControllers(ctx)
+	err = errors.Join(err, d.saveLogs())
 	if err != nil {
 		return errors.Join(append(d.faults, err)...)
 	}
@@ -85,8 +87,19 @@
 	return errors.Join(d.faults...)
 }
 
+// saveLogs writes what each controller has written to a file of its own, which is kept if the day fails.
+func (d *rolloutDay) saveLogs() error {
+	var errs []error
+	for _, p := range d.controllers {
+		errs = append(errs, os.WriteFile(filepath.Join(d.folder, p.Name+".log"), []byte(p.Log()), 0o644))
+	}
+	return errors.Join(errs...)
+}
+
 // step makes the step that a command orders.
 func (d *rolloutDay) step(ctx context.Context, order processtest.Step) error {
+	d.fleet.Say("step of %s to %s, token %s: ordered", order.Gatherer, order.To, order.Fence)
+	defer d.fleet.Say("step of %s to %s, token %s: over", order.Gatherer, order.To, order.Fence)
 	d.mu.Lock()
 	if d.stepping[order.Gatherer] {
 		d.faults = append(d.faults, fmt.Errorf("two steps of %s at once", order.Gatherer))
