Front end: a query that comes in a shutdown is answered before the process may end

What callers see: no answer to a query that came in the last moments before the listener closes and took its whole deadline, and none to one whose deadline is longer than the platform waits with its kill. Cause: only queries that came after the lame-duck period were limited to the end of the shutdown, less the margin in which responses are written. One that came 10 ms before could take the longest deadline, and ended with the process. TestShutdownLimitsQueriesOfLameDuckPeriod failed before: "580 ms after SIGTERM it may take 499.9 ms, at most 419.9 ms are wanted", and a minute where 3.5 s are. Change: the limit holds from SIGTERM on. It shortens what comes in the last 0.1 s of the lame-duck period, and deadlines beyond 3 s; queries that were open at SIGTERM keep their own. Measured: the front end's tests, race detector, three times.

--- a/internal/gatherer/frontend/handler.go
+++ b/internal/gatherer/frontend/handler.go
@@ -81,8 +81,8 @@
 	if err != nil {
 		return err
 	}
-	if late := s.shutdown.late.Load(); late != nil && time.Now().After(late.from) {
-		remaining := time.Until(late.end) - answerMargin
+	if end := s.shutdown.end.Load(); end != nil {
+		remaining := time.Until(*end) - answerMargin
 		query.Deadline = min(query.Deadline, now+float64(remaining)/float64(time.Millisecond))
 	}
 	deadline := time.Now().Add(time.Duration((query.Deadline - now) * float64(time.Millisecond)))
--- a/internal/gatherer/frontend/server.go
+++ b/internal/gatherer/frontend/server.go
@@ -82,7 +82,7 @@
 // shutdownState is how far a shutdown has come.
 type shutdownState struct {
 	started atomic.Bool
-	late    atomic.Pointer[lateWindow] // set once begun
+	end     atomic.Pointer[time.Time] // by which all queries have to be answered; set once begun
 }
 
 // New returns a server that is not serving yet.
--- a/internal/gatherer/frontend/shutdown.go
+++ b/internal/gatherer/frontend/shutdown.go
@@ -24,17 +24,11 @@
 	// that allow no query so much time the kill may come sooner.
 	killTimeout = 3 * time.Second
 
-	// answerMargin is the part of the remaining time in which the last responses are written.
+	// answerMargin is the part of the remaining time in which the last responses are written. No query that comes in
+	// a shutdown may take it.
 	answerMargin = 100 * time.Millisecond
 )
 
-// lateWindow is the last part of a shutdown: a query that comes in it has to be answered by its end, whatever its own
-// deadline.
-type lateWindow struct {
-	from time.Time
-	end  time.Time // by which they have to be answered
-}
-
 // Shutdown drains the server: it serves what still comes within the lame-duck period, has each response end its
 // connection, and returns once every request is answered, or once the longest deadline of a query has passed.
 //
@@ -44,7 +38,8 @@
 	ctx, cancel := context.WithTimeout(ctx, lameDuckPeriod+s.limits.maxDeadline)
 	defer cancel()
 	lateFrom := time.Now().Add(lameDuckPeriod)
-	s.shutdown.late.Store(&lateWindow{from: lateFrom, end: lateFrom.Add(min(s.limits.maxDeadline, killTimeout))})
+	end := lateFrom.Add(min(s.limits.maxDeadline, killTimeout))
+	s.shutdown.end.Store(&end)
 	s.shutdown.started.Store(true) // each connection ends with its next response
 	select {
 	case <-ctx.Done():
--- a/internal/gatherer/frontend/shutdown_test.go
+++ b/internal/gatherer/frontend/shutdown_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -224,6 +225,46 @@
 	}
 }
 
+// TestShutdownLimitsQueriesOfLameDuckPeriod guards against queries that are broken off by the end of the process: one comes
+// shortly before the lame-duck period ends and may take the longest deadline, the other one's deadline is longer than
+// the platform waits with its kill.
+func TestShutdownLimitsQueriesOfLameDuckPeriod(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		maxDeadline time.Duration
+		sentAfter   time.Duration // SIGTERM
+		limit       time.Duration // after SIGTERM, with answerMargin
+	}{
+		{"late", 500 * time.Millisecond, lameDuckPeriod - 20*time.Millisecond, lameDuckPeriod + 500*time.Millisecond},
+		{"long", time.Minute, 0, lameDuckPeriod + killTimeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f, s, address := startServer(t, 10, failed)
+			s.limits.maxDeadline = c.maxDeadline
+			connection := dial(t, address)
+			done := make(chan error, 1)
+			go func() { done <- s.Shutdown(t.Context()) }()
+			waitUntil(t, "leaving", func() bool { return s.shutdown.started.Load() })
+			began := time.Now()
+			time.Sleep(c.sentAfter)
+			sentAfter := time.Since(began)
+			timeout := fmt.Sprint(c.maxDeadline.Milliseconds())
+			io.WriteString(connection, post("/find", strings.Replace(headers, "480", timeout, 1), shardsBody))
+			readResponse(t, bufio.NewReader(connection))
+			connection.Close()
+			query := <-f.picked
+			allowed := time.Duration((query.Deadline - f.Now()) * float64(time.Millisecond))
+			if most := c.limit - sentAfter - answerMargin; allowed > most {
+				t.Errorf("%v after SIGTERM it may take %v, at most %v are wanted", sentAfter, allowed, most)
+			}
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
 // TestLastResponseSurvivesPipelinedRequests has a client send more than its request while the last response of its
 // connection is decided. The connection ends without a reset, and the further requests reach nobody.
 func TestLastResponseSurvivesPipelinedRequests(t *testing.T) {
