Gatherer: SIGHUP in the last moments of a shutdown no longer ends it by that signal

What operators see: a gatherer that was told to end, and gets new configurations meanwhile, ends with "signal: hangup" in place of status 0. All queries are answered by then. Cause: serve gave the signal back as it returned (signal.Stop), and with it its default action, before the process had ended. Change: SIGHUP stays caught until the process has ended. Nobody reads it then.

--- a/cmd/yokeroute/crossings_test.go
+++ b/cmd/yokeroute/crossings_test.go
@@ -154,6 +154,35 @@
 	}
 }
 
+// TestHangupsUntilTheEndDoNotEndTheProcess guards against SIGHUP in the last moments of a shutdown, which ended the process
+// by the signal's default action.
+func TestHangupsUntilTheEndDoNotEndTheProcess(t *testing.T) {
+	const processes = 10 // one in four met it
+	binary := build(t)
+	agent, _ := startDiscovery(t, standin.NewShard(t))
+	for range processes {
+		address := freeAddress(t)
+		p := startProcess(t, binary, writeConfig(t, address, agent), address, 256)
+		waitFor(t, "ready", 10*time.Second, func() bool { return p.get("/-/ready") == 200 })
+		p.signal(t, syscall.SIGTERM)
+		stop := make(chan struct{})
+		var signalling sync.WaitGroup
+		signalling.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(200 * time.Microsecond):
+					_ = p.Process.Signal(syscall.SIGHUP) // it may have ended
+				}
+			}
+		})
+		p.awaitExit(t, 10*time.Second)
+		close(stop)
+		signalling.Wait()
+	}
+}
+
 // TestRepeatedSignalsDoNotDisturbShutdown sends SIGTERM twice and SIGHUP between, while a query waits for a server
 // that answers and another for one that hangs. Each query gets its final answer in time, so does one on an idle
 // connection from before, and the process ends by itself.
--- a/cmd/yokeroute/serve.go
+++ b/cmd/yokeroute/serve.go
@@ -48,8 +48,7 @@
 	terminated, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+	signal.Notify(hangup, syscall.SIGHUP) // for good: a late one must not end the process by its default action
 	g, err := o.open(logOutput)
 	if err != nil {
 		return err
