--- a/internal/gatherer/report/server.go
+++ b/internal/gatherer/report/server.go
@@ -40,7 +40,7 @@
 )
 
 // endTimeouts keep the end short, as that of the gatherer waits for it.
-var endTimeouts = httpserver.Timeouts{Handshakes: 10 * time.Millisecond, Requests: 100 * time.Millisecond}
+var endTimeouts = httpserver.Timeouts{Handshakes: 10 * time.Millisecond, Requests: 50 * time.Millisecond}
 
 // Server serves reports, metrics and claims. It has its own listener, so that its clients never delay queries.
 type Server struct {
