--- a/cmd/yokeroute-testbed/soak_test.go
+++ b/cmd/yokeroute-testbed/soak_test.go
@@ -10,8 +10,8 @@
 	"yokeroute/internal/testbed/soak"
 )
 
-// TestSoakInAFolderInUseIsRefused guards against two soaks that remove each other's files: the second is refused before
-// it touches anything, and may play once the first has ended.
+// TestSoakInAFolderInUseIsRefused guards against two soaks that remove each other's files: the second is
+// refused before it touches anything, and may play once the first has ended.
 func TestSoakInAFolderInUseIsRefused(t *testing.T) {
 	folder := t.TempDir()
 	left := filepath.Join(folder, "seed-1", "state")
--- a/cmd/yokeroute/crossings_test.go
+++ b/cmd/yokeroute/crossings_test.go
@@ -154,8 +154,8 @@
 	}
 }
 
-// TestHangupsUntilTheEndDoNotEndTheProcess guards against SIGHUP in the last moments of a shutdown, which ended the process
-// by the signal's default action.
+// TestHangupsUntilTheEndDoNotEndTheProcess guards against SIGHUP in the last moments of a shutdown, which
+// ended the process by the signal's default action.
 func TestHangupsUntilTheEndDoNotEndTheProcess(t *testing.T) {
 	const processes = 10 // one in four met it
 	binary := build(t)
--- a/internal/control/policyserver/poll.go
+++ b/internal/control/policyserver/poll.go
@@ -10,8 +10,8 @@
 	"yokeroute/logic/policy"
 )
 
-// handlePoll answers a gatherer's poll: at once where there is news for it, or else when there is, its wait is over or the
-// server ends.
+// handlePoll answers a gatherer's poll: at once where there is news for it, or else when there is, its wait
+// is over or the server ends.
 func (s *Server) handlePoll(w http.ResponseWriter, r *http.Request) {
 	request, ok := readRequest(w, r, policyapi.ReadPollRequest)
 	if !ok {
@@ -49,8 +49,8 @@
 	respond(w, http.StatusOK, policyapi.PollResponse{Format: policyapi.Format, Update: &update})
 }
 
-// awaitUpdate waits until there is news for a gatherer, its wait is over or the server ends. It does not wait for one
-// without a lease, and returns false where the gatherer has given up.
+// awaitUpdate waits until there is news for a gatherer, its wait is over or the server ends. It does not wait
+// for one without a lease, and returns false where the gatherer has given up.
 func (s *Server) awaitUpdate(ctx context.Context, r *policyapi.PollRequest, lease float64) (policy.Update, bool) {
 	timeout := time.NewTimer(duration(r.WaitMillis))
 	defer timeout.Stop()
--- a/internal/control/policyserver/shutdown_test.go
+++ b/internal/control/policyserver/shutdown_test.go
@@ -81,8 +81,9 @@
 	awaitEnd(t, ended)
 }
 
-// TestEndAnswersWhatClientsHaveSent guards against requests that are reset by the end of the server: of one a part has
-// come, one is a poll that waits for news, and the last one's connection is established by its client and not accepted.
+// TestEndAnswersWhatClientsHaveSent guards against requests that are reset by the end of the server: of one a
+// part has come, one is a poll that waits for news, and the last one's connection is established by its
+// client and not accepted.
 func TestEndAnswersWhatClientsHaveSent(t *testing.T) {
 	patient := httpserver.Timeouts{Handshakes: time.Second, Requests: endTimeout / 2} // for a busy machine
 	s, err := open(t.Context(), singleServer(t), quietLog(), patient)
--- a/internal/control/rollout/commandstep.go
+++ b/internal/control/rollout/commandstep.go
@@ -82,8 +82,8 @@
 	return cmd
 }
 
-// processFile names the command that was started last for a gatherer, by any controller. Controllers of earlier versions
-// read it alone.
+// processFile names the command that was started last for a gatherer, by any controller. Controllers of
+// earlier versions read it alone.
 func (s commandStepper) processFile(g int) string {
 	return filepath.Join(s.plan.Folder, "run", s.plan.Gatherers[g].Name+".step")
 }
@@ -101,8 +101,9 @@
 	return writeProcessRecord(s.processFile(g), recordOf(pid))
 }
 
-// recordProcessOf records the process of a gatherer's step for later controllers. No other controller writes there: one
-// that has been taken over from notices only after its record, and would replace that of its successor.
+// recordProcessOf records the process of a gatherer's step for later controllers. No other controller writes
+// there: one that has been taken over from notices only after its record, and would replace that of its
+// successor.
 func (s commandStepper) recordProcessOf(fencingToken uint64, g, pid int) error {
 	return writeProcessRecord(s.processFileOf(strconv.FormatUint(fencingToken, 10), g), recordOf(pid))
 }
@@ -126,8 +127,8 @@
 	return records, nil
 }
 
-// awaitPrevious waits for the end of commands that earlier controllers have started for the gatherer, since two at
-// once would disturb each other. One that exceeds its time is killed.
+// awaitPrevious waits for the end of commands that earlier controllers have started for the gatherer, since
+// two at once would disturb each other. One that exceeds its time is killed.
 func (s commandStepper) awaitPrevious(ctx context.Context, g int, timeout time.Duration) error {
 	records, err := s.recordedProcesses(g)
 	if err != nil {
--- a/internal/control/rollout/commandstep_test.go
+++ b/internal/control/rollout/commandstep_test.go
@@ -15,8 +15,8 @@
 	"yokeroute/logic/rollout"
 )
 
-// stoppedController is the environment variable that has this test be the controller which is stopped. Its value is the
-// folder of the rollout.
+// stoppedController is the environment variable that has this test be the controller which is stopped. Its
+// value is the folder of the rollout.
 const stoppedController = "YOKEROUTE_TEST_STOPPED_CONTROLLER"
 
 // waitsText is what the stopped controller prints before it makes its step.
@@ -95,9 +95,9 @@
 	return controller
 }
 
-// TestSupersededControllerDoesNotHideRunningStep guards against two steps of one gatherer at once: a controller that is
-// stopped while it waits for an earlier step, and goes on after another one has taken over and begun a step, must not
-// keep a third one from waiting for that step.
+// TestSupersededControllerDoesNotHideRunningStep guards against two steps of one gatherer at once: a
+// controller that is stopped while it waits for an earlier step, and goes on after another one has taken over
+// and begun a step, must not keep a third one from waiting for that step.
 func TestSupersededControllerDoesNotHideRunningStep(t *testing.T) {
 	if folder := os.Getenv(stoppedController); folder != "" {
 		fmt.Println("refused:", makeStepUntilStopped(folder))
--- a/internal/drainable/drainable.go
+++ b/internal/drainable/drainable.go
@@ -1,5 +1,6 @@
-// Package drainable has a listener that stops without a reset. The kernel establishes connections by itself and queues
-// them; it resets those that are queued when their listener is closed, with the requests that clients have sent on them.
+// Package drainable has a listener that stops without a reset. The kernel establishes connections by itself
+// and queues them; it resets those that are queued when their listener is closed, with the requests that
+// clients have sent on them.
 package drainable
 
 import (
@@ -37,9 +38,10 @@
 // NewListener returns a listener that accepts the connections of another one.
 func NewListener(l net.Listener) *Listener { return &Listener{Listener: l} }
 
-// Drain has the kernel refuse new connections from now on. Accept goes on for handshakeTimeout, in which handshakes under
-// way can be completed. Then it returns the connections that are queued still, and at last net.ErrClosed, with the
-// listener closed. Drain does not wait for that. A listener without a socket of the kernel is closed at once.
+// Drain has the kernel refuse new connections from now on. Accept goes on for handshakeTimeout, in which
+// handshakes under way can be completed. Then it returns the connections that are queued still, and at last
+// net.ErrClosed, with the listener closed. Drain does not wait for that. A listener without a socket of the
+// kernel is closed at once.
 func (l *Listener) Drain(handshakeTimeout time.Duration) {
 	socket, ok := l.Listener.(socketListener)
 	if !ok {
@@ -57,11 +59,12 @@
 	}
 }
 
-// refuseNewConnections binds the listening socket to an interface that does not exist. The kernel finds no listener for
-// new connections then and refuses them. Handshakes under way belong to the socket already, and its queue stays.
+// refuseNewConnections binds the listening socket to an interface that does not exist. The kernel finds no
+// listener for new connections then and refuses them. Handshakes under way belong to the socket already, and
+// its queue stays.
 //
-// A kernel before Linux 5.7 wants CAP_NET_RAW for it. Without that, connections are accepted until the listener is
-// closed, and one that is established between the last accept and the close is reset.
+// A kernel before Linux 5.7 wants CAP_NET_RAW for it. Without that, connections are accepted until the
+// listener is closed, and one that is established between the last accept and the close is reset.
 func refuseNewConnections(socket socketListener) {
 	raw, err := socket.SyscallConn()
 	if err != nil {
@@ -97,7 +100,8 @@
 		l.Close()
 		return nil, net.ErrClosed
 	case acceptErr != nil:
-		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: os.NewSyscallError("accept4", acceptErr)}
+		cause := os.NewSyscallError("accept4", acceptErr)
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: cause}
 	}
 	file := os.NewFile(uintptr(accepted), "client connection")
 	defer file.Close() // the connection has its own descriptor
--- a/internal/drainable/drainable_test.go
+++ b/internal/drainable/drainable_test.go
@@ -42,7 +42,8 @@
 	}
 }
 
-// answerAll accepts connections until the listener is closed and sends a byte on each. It returns how many there were.
+// answerAll accepts connections until the listener is closed and sends a byte on each. It returns how many
+// there were.
 func answerAll(t *testing.T, l net.Listener) (accepted int) {
 	t.Helper()
 	for {
@@ -67,8 +68,8 @@
 	}
 }
 
-// TestDrainAcceptsQueuedConnections guards against connections that are reset as nobody accepts them before the end of
-// the time for handshakes, as on a machine that has no processor left for it.
+// TestDrainAcceptsQueuedConnections guards against connections that are reset as nobody accepts them before
+// the end of the time for handshakes, as on a machine that has no processor left for it.
 func TestDrainAcceptsQueuedConnections(t *testing.T) {
 	for _, handshakeTimeout := range []time.Duration{0, time.Millisecond} {
 		l := listen(t)
@@ -87,8 +88,8 @@
 	}
 }
 
-// TestDrainRefusesNewConnections guards against connections that are established behind the last accept, and reset by
-// the close: once the drain has begun the kernel refuses them, while the listener is open still.
+// TestDrainRefusesNewConnections guards against connections that are established behind the last accept, and
+// reset by the close: once the drain has begun the kernel refuses them, while the listener is open still.
 func TestDrainRefusesNewConnections(t *testing.T) {
 	l := listen(t)
 	queued := dial(t, l)
@@ -107,8 +108,9 @@
 	wantAnswer(t, queued)
 }
 
-// TestDrainAcceptsHandshakeUnderWay guards against a connection that is reset as its handshake is completed after the
-// drain has begun. The kernel is told to complete it with the first data, so that the test says when.
+// TestDrainAcceptsHandshakeUnderWay guards against a connection that is reset as its handshake is completed
+// after the drain has begun. The kernel is told to complete it with the first data, so that the test says
+// when.
 func TestDrainAcceptsHandshakeUnderWay(t *testing.T) {
 	l := listen(t)
 	completeHandshakesWithData(t, l)
--- a/internal/gatherer/discovery/endpoints.go
+++ b/internal/gatherer/discovery/endpoints.go
@@ -43,9 +43,9 @@
 
 // apply takes over a response and returns the list or the change that follows from it.
 //
-// A full list of another agent, or of one that is behind, may be older than what is known. It reverts no drain and no
-// removal: one process is first running, then draining, then removed. The servers of which it says otherwise are noted as
-// overruled, until a response agrees or observations are adopted.
+// A full list of another agent, or of one that is behind, may be older than what is known. It reverts no
+// drain and no removal: one process is first running, then draining, then removed. The servers of which it
+// says otherwise are noted as overruled, until a response agrees or observations are adopted.
 func (t *endpointTable) apply(r *Response) gather.EndpointList {
 	list := gather.EndpointList{Full: r.Full}
 	if r.Full {
@@ -114,8 +114,8 @@
 	return m.UpSince, state
 }
 
-// adoptObservations has what is known count as told by the present agent, whose next full list is then not older unless
-// its revision is.
+// adoptObservations has what is known count as told by the present agent, whose next full list is then not
+// older unless its revision is.
 func (t *endpointTable) adoptObservations() {
 	for name, o := range t.observations {
 		o.source = t.source
--- a/internal/gatherer/discovery/recheck_test.go
+++ b/internal/gatherer/discovery/recheck_test.go
@@ -106,8 +106,8 @@
 	at    time.Time
 }
 
-// runStateWatcher runs a watcher until the test ends, after it was given what is known, if anything. The changes of the
-// server's state arrive on the channel.
+// runStateWatcher runs a watcher until the test ends, after it was given what is known, if anything. The
+// changes of the server's state arrive on the channel.
 func runStateWatcher(t *testing.T, agent *scriptedAgent, known *Response, shared bool) (*Watcher, <-chan stateChange) {
 	t.Helper()
 	log := logrus.New()
@@ -170,9 +170,9 @@
 // maxRecheckDelay is after which a recheck has taken effect: it waits for the end of a watch.
 const maxRecheckDelay = maxListAge + watchDuration + headerTimeout
 
-// TestDrainUndoneDuringAMoveTakesEffect guards against a server that never gets a request again: its drain is undone
-// while the agent is silent, and the gatherer is given another agent, whose revisions are lower. The drain ends no
-// earlier than such a list can be older.
+// TestDrainUndoneDuringAMoveTakesEffect guards against a server that never gets a request again: its drain is
+// undone while the agent is silent, and the gatherer is given another agent, whose revisions are lower. The
+// drain ends no earlier than such a list can be older.
 func TestDrainUndoneDuringAMoveTakesEffect(t *testing.T) {
 	t.Parallel()
 	first := newScriptedAgent(t, 40, "in_service")
@@ -194,7 +194,8 @@
 	}
 }
 
-// TestRemovalUndoneDuringAMoveTakesEffect guards against the same with a server that discovery had removed by name.
+// TestRemovalUndoneDuringAMoveTakesEffect guards against the same with a server that discovery had removed by
+// name.
 func TestRemovalUndoneDuringAMoveTakesEffect(t *testing.T) {
 	t.Parallel()
 	first := newScriptedAgent(t, 40, "in_service")
@@ -211,8 +212,8 @@
 	}
 }
 
-// TestDrainHoldsAtAnAgentThatIsBehind guards against requests to a draining server: the new agent does not know of the
-// drain for most of the time that it may be behind. It is asked for no second full list.
+// TestDrainHoldsAtAnAgentThatIsBehind guards against requests to a draining server: the new agent does not
+// know of the drain for most of the time that it may be behind. It is asked for no second full list.
 func TestDrainHoldsAtAnAgentThatIsBehind(t *testing.T) {
 	t.Parallel()
 	first := newScriptedAgent(t, 41, "terminating")
@@ -228,8 +229,8 @@
 	}
 }
 
-// TestDrainHoldsAtAnAgentThatFallsSilentWhileBehind guards against requests to a draining server: the new agent learns
-// nothing while it is silent, and serves an old list again after that.
+// TestDrainHoldsAtAnAgentThatFallsSilentWhileBehind guards against requests to a draining server: the new
+// agent learns nothing while it is silent, and serves an old list again after that.
 func TestDrainHoldsAtAnAgentThatFallsSilentWhileBehind(t *testing.T) {
 	t.Parallel()
 	first := newScriptedAgent(t, 41, "terminating")
@@ -247,8 +248,8 @@
 	expectNoChange(t, changes, 2*time.Second+watchDuration)
 }
 
-// TestDrainHoldsAtAnAgentThatGoesBackDuringARecheck guards against requests to a draining server: the full list that
-// is requested once more has a lower revision than the one before, so that it may be older.
+// TestDrainHoldsAtAnAgentThatGoesBackDuringARecheck guards against requests to a draining server: the full
+// list that is requested once more has a lower revision than the one before, so that it may be older.
 func TestDrainHoldsAtAnAgentThatGoesBackDuringARecheck(t *testing.T) {
 	t.Parallel()
 	watcher, changes := New(Config{}), []gather.State(nil)
@@ -276,8 +277,9 @@
 	}
 }
 
-// TestStoredDrainThatIsUndoneTakesEffect guards against a server that never gets a request after a gatherer's start: an
-// earlier process stored its drain, which was undone since. A shared service tells only what follows the known list.
+// TestStoredDrainThatIsUndoneTakesEffect guards against a server that never gets a request after a gatherer's
+// start: an earlier process stored its drain, which was undone since. A shared service tells only what
+// follows the known list.
 func TestStoredDrainThatIsUndoneTakesEffect(t *testing.T) {
 	for _, shared := range []bool{false, true} {
 		t.Run(fmt.Sprintf("shared service %t", shared), func(t *testing.T) {
@@ -308,9 +310,9 @@
 	}
 }
 
-// TestStoredDrainHoldsUntilDiscoveryTellsIt guards against requests to a draining server, and against a full list of a
-// shared service that is requested for nothing: the known list is older than the stored drain, which the first watch
-// tells.
+// TestStoredDrainHoldsUntilDiscoveryTellsIt guards against requests to a draining server, and against a full
+// list of a shared service that is requested for nothing: the known list is older than the stored drain,
+// which the first watch tells.
 func TestStoredDrainHoldsUntilDiscoveryTellsIt(t *testing.T) {
 	t.Parallel()
 	known, err := ParseResponse([]byte(document(41, true, "in_service")))
--- a/internal/gatherer/discovery/watcher.go
+++ b/internal/gatherer/discovery/watcher.go
@@ -29,8 +29,8 @@
 	// stallTimeout bounds the pauses in an answer, watchBodyTimeout that of a long poll as a whole.
 	stallTimeout     = 500 * time.Millisecond
 	watchBodyTimeout = 3 * time.Second
-	// maxListAge is how long a list may be behind what another agent has told: by the operators' terms a change counts
-	// as told 6 s after discovery had it and could be reached.
+	// maxListAge is how long a list may be behind what another agent has told: by the operators' terms a
+	// change counts as told 6 s after discovery had it and could be reached.
 	maxListAge = 6 * time.Second
 	// maxBodyBytes has room for maxMembers entries of over 300 bytes.
 	maxBodyBytes = 32 << 20
@@ -207,9 +207,9 @@
 	return changed
 }
 
-// scheduleRecheck has the full list requested once more where what is known contradicts the agent's and was kept. This
-// is due once the agent has been reached for maxListAge without a break; a break or an agent that falls behind begins
-// that time anew.
+// scheduleRecheck has the full list requested once more where what is known contradicts the agent's and was
+// kept. This is due once the agent has been reached for maxListAge without a break; a break or an agent that
+// falls behind begins that time anew.
 func (w *Watcher) scheduleRecheck(anew bool) {
 	switch {
 	case len(w.endpoints.overruled) == 0:
@@ -219,8 +219,8 @@
 	}
 }
 
-// recheckIfDue has the next poll request the full list, and what it says take effect, where a recheck is due. A list
-// that is still missing after a break is no recheck: it may have been requested before.
+// recheckIfDue has the next poll request the full list, and what it says take effect, where a recheck is due.
+// A list that is still missing after a break is no recheck: it may have been requested before.
 func (w *Watcher) recheckIfDue() {
 	if !w.watching || w.recheckAt.IsZero() || time.Now().Before(w.recheckAt) {
 		return
--- a/internal/gatherer/frontend/conntracker.go
+++ b/internal/gatherer/frontend/conntracker.go
@@ -171,8 +171,8 @@
 	return false
 }
 
-// shutDown closes each connection once it is idle; those that have not carried a request yet may still do so, until
-// closeSilent. The channel is closed once none is open.
+// shutDown closes each connection once it is idle; those that have not carried a request yet may still do so,
+// until closeSilent. The channel is closed once none is open.
 func (c *connTracker) shutDown() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -183,7 +183,8 @@
 	return c.allClosed
 }
 
-// closeSilent closes the connections on which nothing has come since they were made. shutDown has been called.
+// closeSilent closes the connections on which nothing has come since they were made. shutDown has been
+// called.
 func (c *connTracker) closeSilent() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gatherer/frontend/listener_test.go
+++ b/internal/gatherer/frontend/listener_test.go
@@ -61,9 +61,9 @@
 	}
 }
 
-// TestShutdownServesConnectionWhoseHandshakeIsUnderWay guards against a request that is reset at the end of the lame-duck
-// period, as the handshake of its connection is completed a moment later. The kernel is told to complete it with the
-// first data, so that the test says when.
+// TestShutdownServesConnectionWhoseHandshakeIsUnderWay guards against a request that is reset at the end of
+// the lame-duck period, as the handshake of its connection is completed a moment later. The kernel is told to
+// complete it with the first data, so that the test says when.
 func TestShutdownServesConnectionWhoseHandshakeIsUnderWay(t *testing.T) {
 	f := &fakePicker{make(chan *dispatch.Query, 10), failed}
 	s := newTestServer(f, 10, func() bool { return true })
--- a/internal/gatherer/frontend/shutdown.go
+++ b/internal/gatherer/frontend/shutdown.go
@@ -11,21 +11,22 @@
 	// balancer in front of the gatherer notices that late, and a request may cross the close of an idle one.
 	lameDuckPeriod = 600 * time.Millisecond
 
-	// handshakeTimeout is how long a handshake that is under way at the end of the lame-duck period may take still. New
-	// ones are refused meanwhile. It covers the way in a network, and a kernel that is late on a busy machine.
+	// handshakeTimeout is how long a handshake that is under way at the end of the lame-duck period may take
+	// still. New ones are refused meanwhile. It covers the way in a network, and a kernel that is late on a
+	// busy machine.
 	handshakeTimeout = 100 * time.Millisecond
 
-	// silentPeriod is for how long beyond the lame-duck period a connection may still carry its first request. It is
-	// shorter where a third of the longest deadline is, since what follows has to end before the platform's kill, but
-	// the connections that were accepted last have their firstByteTimeout.
+	// silentPeriod is for how long beyond the lame-duck period a connection may still carry its first
+	// request. It is shorter where a third of the longest deadline is, since what follows has to end before
+	// the platform's kill, but the connections that were accepted last have their firstByteTimeout.
 	silentPeriod = 500 * time.Millisecond
 
 	// killTimeout is the least time between the end of the lame-duck period and the platform's kill. With settings
 	// that allow no query so much time the kill may come sooner.
 	killTimeout = 3 * time.Second
 
-	// answerMargin is the part of the remaining time in which the last responses are written. No query that comes in
-	// a shutdown may take it.
+	// answerMargin is the part of the remaining time in which the last responses are written. No query that
+	// comes in a shutdown may take it.
 	answerMargin = 100 * time.Millisecond
 )
 
@@ -62,8 +63,8 @@
 	return s.errorLog.Close()
 }
 
-// closeListener accepts the connections that clients have established or are establishing, ends Serve and waits for it,
-// so that every connection is counted.
+// closeListener accepts the connections that clients have established or are establishing, ends Serve and
+// waits for it, so that every connection is counted.
 func (s *Server) closeListener(ctx context.Context) {
 	s.mu.Lock()
 	l := s.listener
--- a/internal/gatherer/frontend/shutdown_test.go
+++ b/internal/gatherer/frontend/shutdown_test.go
@@ -194,9 +194,9 @@
 	}
 }
 
-// TestShutdownDoesNotWaitForSilentConnections guards against a process that the platform has to kill, because clients
-// hold connections on which they send nothing. Such a one ends without a reset; one on which half of a request has come by
-// then is served.
+// TestShutdownDoesNotWaitForSilentConnections guards against a process that the platform has to kill, because
+// clients hold connections on which they send nothing. Such a one ends without a reset; one on which half of
+// a request has come by then is served.
 func TestShutdownDoesNotWaitForSilentConnections(t *testing.T) {
 	_, s, address := startServer(t, 10, failed)
 	began := time.Now()
@@ -225,9 +225,9 @@
 	}
 }
 
-// TestShutdownLimitsQueriesOfLameDuckPeriod guards against queries that are broken off by the end of the process: one comes
-// shortly before the lame-duck period ends and may take the longest deadline, the other one's deadline is longer than
-// the platform waits with its kill.
+// TestShutdownLimitsQueriesOfLameDuckPeriod guards against queries that are broken off by the end of the
+// process: one comes shortly before the lame-duck period ends and may take the longest deadline, the other
+// one's deadline is longer than the platform waits with its kill.
 func TestShutdownLimitsQueriesOfLameDuckPeriod(t *testing.T) {
 	for _, c := range []struct {
 		name        string
--- a/internal/gatherer/report/server_test.go
+++ b/internal/gatherer/report/server_test.go
@@ -124,8 +124,8 @@
 	}
 }
 
-// TestEndAnswersWhatClientsHaveSent guards against requests that are reset by the end of the server: of one a part has
-// come, and the other one's connection is established by its client and not accepted.
+// TestEndAnswersWhatClientsHaveSent guards against requests that are reset by the end of the server: of one a
+// part has come, and the other one's connection is established by its client and not accepted.
 func TestEndAnswersWhatClientsHaveSent(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -1,8 +1,8 @@
-// Package httpserver has an HTTP server that ends in order: it answers the requests of connections that clients have
-// established or are establishing.
+// Package httpserver has an HTTP server that ends in order: it answers the requests of connections that
+// clients have established or are establishing.
 //
-// It replaces http.Server.Shutdown, which closes the listener over connections that are not accepted, and reads requests
-// that it drops unanswered.
+// It replaces http.Server.Shutdown, which closes the listener over connections that are not accepted, and
+// reads requests that it drops unanswered.
 package httpserver
 
 import (
@@ -39,7 +39,8 @@
 	ending    chan struct{} // closed once Close begins
 }
 
-// New returns a server that does not serve yet. Its connections' states are followed by the server's ConnState.
+// New returns a server that does not serve yet. Its connections' states are followed by the server's
+// ConnState.
 func New(listener net.Listener, server *http.Server, timeouts Timeouts) *Server {
 	s := &Server{
 		server:   server,
@@ -70,8 +71,8 @@
 // Ending is closed once Close begins. A request that waits for something is to be answered then.
 func (s *Server) Ending() <-chan struct{} { return s.ending }
 
-// Close ends the server. New connections are refused; requests that clients have sent on established ones are answered
-// within the timeouts, and each response ends its connection. Idle connections are closed at once.
+// Close ends the server. New connections are refused; requests that clients have sent on established ones are
+// answered within the timeouts, and each response ends its connection. Idle connections are closed at once.
 func (s *Server) Close() error {
 	s.closeOnce.Do(func() { s.closeErr = s.close() })
 	return s.closeErr
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -60,7 +60,8 @@
 	return l.TCPListener.Accept()
 }
 
-// TestCloseAnswersQueuedRequests guards against requests that are reset as their connections are not accepted yet.
+// TestCloseAnswersQueuedRequests guards against requests that are reset as their connections are not accepted
+// yet.
 func TestCloseAnswersQueuedRequests(t *testing.T) {
 	held := &heldListener{listen(t), make(chan struct{})}
 	s := start(t, held, Timeouts{Handshakes: time.Millisecond, Requests: patient.Requests}, ok)
@@ -81,7 +82,8 @@
 	}
 }
 
-// TestCloseAnswersHandshakeUnderWay guards against a request that is reset as its handshake ends after the close begins.
+// TestCloseAnswersHandshakeUnderWay guards against a request that is reset as its handshake ends after the
+// close begins.
 func TestCloseAnswersHandshakeUnderWay(t *testing.T) {
 	l := listen(t)
 	lateclient.CompleteHandshakesWithData(t, l)
@@ -95,8 +97,8 @@
 	}
 }
 
-// TestCloseAnswersRequestBeingServed guards against requests that are broken off: of one the body is read, the other
-// one is served, and both handlers answer only once the close has begun.
+// TestCloseAnswersRequestBeingServed guards against requests that are broken off: of one the body is read,
+// the other one is served, and both handlers answer only once the close has begun.
 func TestCloseAnswersRequestBeingServed(t *testing.T) {
 	serving := make(chan struct{}, 2)
 	l := listen(t)
@@ -124,7 +126,8 @@
 	}
 }
 
-// TestCloseIsBounded: neither a handler that waits for ever nor a client that sends nothing keeps the server from ending.
+// TestCloseIsBounded: neither a handler that waits for ever nor a client that sends nothing keeps the server
+// from ending.
 func TestCloseIsBounded(t *testing.T) {
 	serving := make(chan struct{})
 	l := listen(t)
--- a/internal/httpserver/openconns.go
+++ b/internal/httpserver/openconns.go
@@ -28,8 +28,8 @@
 	o.notify()
 }
 
-// allAnswered returns a channel that is closed once there is no connection on which a request is awaited or served. It
-// may be called once, when no connection is accepted any more.
+// allAnswered returns a channel that is closed once there is no connection on which a request is awaited or
+// served. It may be called once, when no connection is accepted any more.
 func (o *openConns) allAnswered() <-chan struct{} {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/storage/runfolder/runfolder.go
+++ b/internal/storage/runfolder/runfolder.go
@@ -89,9 +89,9 @@
 	return fmt.Errorf("%s: %w", file.Name(), err)
 }
 
-// acquireToken takes the token that follows the highest one, which was previous. The folder of the token's journal is
-// made by one process only. One that finds it made has been taken over from if it holds the lock; without the lock it
-// takes over in its turn.
+// acquireToken takes the token that follows the highest one, which was previous. The folder of the token's
+// journal is made by one process only. One that finds it made has been taken over from if it holds the lock;
+// without the lock it takes over in its turn.
 func (f *Folder) acquireToken(previous uint64) error {
 	if err := os.MkdirAll(f.file(journalsFolder), 0o755); err != nil {
 		return err
@@ -116,8 +116,9 @@
 
 func (f *Folder) file(name string) string { return filepath.Join(f.path, name) }
 
-// readToken returns the highest token taken so far, 0 for none. Processes of earlier versions, which made no folder
-// before they wrote the token's file, and processes that were held up before they wrote it, leave only one of the two.
+// readToken returns the highest token taken so far, 0 for none. Processes of earlier versions, which made no
+// folder before they wrote the token's file, and processes that were held up before they wrote it, leave only
+// one of the two.
 func readToken(path string) (uint64, error) {
 	written, err := readTokenFile(path)
 	if err != nil {
--- a/internal/storage/runfolder/runfolder_test.go
+++ b/internal/storage/runfolder/runfolder_test.go
@@ -106,8 +106,8 @@
 	wantFolder(t, written, "run")
 }
 
-// TestTokensAreTakenOnce guards against two processes that carry out one operation, each sure that the other does not: they
-// took it over at the same time and hold the same token.
+// TestTokensAreTakenOnce guards against two processes that carry out one operation, each sure that the other
+// does not: they took it over at the same time and hold the same token.
 func TestTokensAreTakenOnce(t *testing.T) {
 	const processes = 16
 	folder := t.TempDir()
@@ -135,8 +135,8 @@
 	}
 }
 
-// TestProcessTakenOverWhileItBeginsIsRefused guards against two controllers with one token: one was stopped between reading
-// the token and taking the next, while another one took over, and went on.
+// TestProcessTakenOverWhileItBeginsIsRefused guards against two controllers with one token: one was stopped
+// between reading the token and taking the next, while another one took over, and went on.
 func TestProcessTakenOverWhileItBeginsIsRefused(t *testing.T) {
 	folder := t.TempDir()
 	stopped := &Folder{path: folder}
@@ -161,8 +161,8 @@
 	}
 }
 
-// TestLateTokenFileDoesNotRevertToken guards against a process that is stopped before it writes the token's file, and
-// writes a lower token there than that of a process which has taken over.
+// TestLateTokenFileDoesNotRevertToken guards against a process that is stopped before it writes the token's
+// file, and writes a lower token there than that of a process which has taken over.
 func TestLateTokenFileDoesNotRevertToken(t *testing.T) {
 	folder := t.TempDir()
 	first, err := Open(folder, false)
@@ -186,8 +186,8 @@
 	}
 }
 
-// TestProcessThatRecordedNothingIsSkipped guards against records that are lost behind a process which was killed right
-// after it had taken its token.
+// TestProcessThatRecordedNothingIsSkipped guards against records that are lost behind a process which was
+// killed right after it had taken its token.
 func TestProcessThatRecordedNothingIsSkipped(t *testing.T) {
 	folder := t.TempDir()
 	if err := os.CopyFS(folder, os.DirFS(filepath.Join("testdata", "kept", "run"))); err != nil {
--- a/internal/testbed/lateclient/lateclient.go
+++ b/internal/testbed/lateclient/lateclient.go
@@ -1,5 +1,5 @@
-// Package lateclient has clients for tests of how servers end: each sends what is left of its request once the server
-// refuses new connections.
+// Package lateclient has clients for tests of how servers end: each sends what is left of its request once
+// the server refuses new connections.
 package lateclient
 
 import (
@@ -67,8 +67,8 @@
 	}
 }
 
-// CompleteHandshakesWithData has the kernel complete the handshake of a new connection with its first data. For its client
-// it is established before; for the server it is under way until the client sends.
+// CompleteHandshakesWithData has the kernel complete the handshake of a new connection with its first data.
+// For its client it is established before; for the server it is under way until the client sends.
 func CompleteHandshakesWithData(t *testing.T, l net.Listener) {
 	t.Helper()
 	raw, err := l.(syscall.Conn).SyscallConn()
--- a/internal/testbed/processtest/fleet.go
+++ b/internal/testbed/processtest/fleet.go
@@ -88,7 +88,8 @@
 	return "", nil, fmt.Errorf("no free loopback addresses: %w", err)
 }
 
-// StartFleet starts a fleet and waits until all of its gatherers are ready. Where that fails nothing of it is left.
+// StartFleet starts a fleet and waits until all of its gatherers are ready. Where that fails nothing of it is
+// left.
 func StartFleet(ctx context.Context, sc *Scenario, terms Terms) (*Fleet, error) {
 	f := &Fleet{Scenario: sc, terms: terms, links: map[string]*Link{},
 		chance: pcg.New(sc.Seed), began: time.Now()}
--- a/internal/testbed/processtest/fleet_test.go
+++ b/internal/testbed/processtest/fleet_test.go
@@ -84,8 +84,8 @@
 	return ctx
 }
 
-// TestFleetThatDoesNotStartTellsWhy guards against a panic in the place of the error: the fleet's folder is no folder,
-// or the gatherers' program is none.
+// TestFleetThatDoesNotStartTellsWhy guards against a panic in the place of the error: the fleet's folder is
+// no folder, or the gatherers' program is none.
 func TestFleetThatDoesNotStartTellsWhy(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "file")
 	if err := os.WriteFile(file, nil, 0o644); err != nil {
--- a/internal/testbed/processtest/gatherer.go
+++ b/internal/testbed/processtest/gatherer.go
@@ -66,8 +66,8 @@
 	return g.process
 }
 
-// lastTermination returns the newest of its processes that was sent SIGTERM, whoever sent it, and how long ago that was;
-// no name where none was.
+// lastTermination returns the newest of its processes that was sent SIGTERM, whoever sent it, and how long
+// ago that was; no name where none was.
 func (g *Gatherer) lastTermination() (name string, since time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/testbed/processtest/losttry.go
+++ b/internal/testbed/processtest/losttry.go
@@ -29,8 +29,8 @@
 	SinceFault time.Duration `json:"since,omitempty"`
 	Terminated string        `json:"terminated,omitempty"` // the last of its gatherer's processes that was sent SIGTERM
 	SinceTerm  time.Duration `json:"since_term,omitempty"` // since that SIGTERM, whoever sent it
-	Refused    int           `json:"refused,omitempty"`    // connections of the relay that its gatherer refused meanwhile
-	Starved    time.Duration `json:"starved"`              // for which its gatherer's threads waited for a processor meanwhile
+	Refused    int           `json:"refused,omitempty"`    // by its gatherer, of the relay's connections
+	Starved    time.Duration `json:"starved"`              // for which its gatherer's threads waited for a processor
 	Error      string        `json:"error"`
 }
 
--- a/internal/testbed/processtest/losttry_test.go
+++ b/internal/testbed/processtest/losttry_test.go
@@ -12,8 +12,8 @@
 	"yokeroute/internal/process"
 )
 
-// TestLostTryTellsOfSIGTERM guards against a lost try that says nothing of its gatherer's planned end, as that was no
-// drawn fault but a rollout's step.
+// TestLostTryTellsOfSIGTERM guards against a lost try that says nothing of its gatherer's planned end, as
+// that was no drawn fault but a rollout's step.
 func TestLostTryTellsOfSIGTERM(t *testing.T) {
 	g := &Gatherer{Name: "g1"}
 	for _, name := range []string{"g1.1", "g1.2"} {
@@ -44,8 +44,8 @@
 	}
 }
 
-// TestLostTryTellsOfRelay guards against resets that are taken for a gatherer's where the rig's relay has made them, as its
-// own connection was refused.
+// TestLostTryTellsOfRelay guards against resets that are taken for a gatherer's where the rig's relay has
+// made them, as its own connection was refused.
 func TestLostTryTellsOfRelay(t *testing.T) {
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/testbed/processtest/relay.go
+++ b/internal/testbed/processtest/relay.go
@@ -251,7 +251,8 @@
 	k.refused = append(k.refused, time.Now())
 }
 
-// refusedSince counts the connections that the far side has not taken since a time: each was reset at the near side.
+// refusedSince counts the connections that the far side has not taken since a time: each was reset at the
+// near side.
 func (k *Link) refusedSince(from time.Time) (count int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/testbed/soak/folder.go
+++ b/internal/testbed/soak/folder.go
@@ -11,8 +11,8 @@
 // ErrFolderInUse is a folder in which another process plays days.
 var ErrFolderInUse = errors.New("another soak plays in this folder")
 
-// LockFolder locks a folder for the days of one process: a day removes what an earlier one of its seed has left there.
-// Closing the file releases the lock, and so does the end of the process.
+// LockFolder locks a folder for the days of one process: a day removes what an earlier one of its seed has
+// left there. Closing the file releases the lock, and so does the end of the process.
 func LockFolder(folder string) (*os.File, error) {
 	file, err := os.Open(folder)
 	if err != nil {
--- a/internal/testbed/soak/reports.go
+++ b/internal/testbed/soak/reports.go
@@ -50,8 +50,8 @@
 	return awaitDrain(ctx, f.Gatherers, maxDiscoveryDelay)
 }
 
-// awaitDrain waits until each gatherer reports one draining server, for as long as limit. The error tells what each of
-// the others reported last.
+// awaitDrain waits until each gatherer reports one draining server, for as long as limit. The error tells
+// what each of the others reported last.
 func awaitDrain(ctx context.Context, gatherers []*processtest.Gatherer, limit time.Duration) error {
 	errs := parallel.Map(len(gatherers), len(gatherers), func(i int) error {
 		if err := awaitDrainAt(ctx, gatherers[i], limit); err != nil {
@@ -62,7 +62,8 @@
 	return errors.Join(errs...)
 }
 
-// awaitDrainAt is awaitDrain for one gatherer. A reading that has begun within the limit is not broken off by its end.
+// awaitDrainAt is awaitDrain for one gatherer. A reading that has begun within the limit is not broken off by
+// its end.
 func awaitDrainAt(ctx context.Context, g *processtest.Gatherer, limit time.Duration) error {
 	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- a/internal/testbed/soak/reports_test.go
+++ b/internal/testbed/soak/reports_test.go
@@ -32,8 +32,8 @@
 	return &processtest.Gatherer{Name: name, Reports: strings.TrimPrefix(server.URL, "http://")}
 }
 
-// TestDrainCheckTellsWhatEachGathererReportedLast guards against an error that names every gatherer, and not what they
-// report: the time that one of them uses up is not taken from the others.
+// TestDrainCheckTellsWhatEachGathererReportedLast guards against an error that names every gatherer, and not
+// what they report: the time that one of them uses up is not taken from the others.
 func TestDrainCheckTellsWhatEachGathererReportedLast(t *testing.T) {
 	var readings atomic.Int32
 	late := reportingGatherer(t, "g4", func() int { return int(min(readings.Add(1)/10, 1)) })
@@ -60,8 +60,8 @@
 	}
 }
 
-// TestDrainCheckDoesNotBreakOffAReading guards against the end of the time being told in place of a gatherer's report:
-// each reading takes longer than the time that is left.
+// TestDrainCheckDoesNotBreakOffAReading guards against the end of the time being told in place of a
+// gatherer's report: each reading takes longer than the time that is left.
 func TestDrainCheckDoesNotBreakOffAReading(t *testing.T) {
 	const limit = 100 * time.Millisecond
 	slow := reportingGatherer(t, "g1", func() int {
--- a/logic/load.go
+++ b/logic/load.go
@@ -112,8 +112,8 @@
 	return e.expectedFrom(recent, server, now)
 }
 
-// expectedFrom is what a request sent to a server now would take, which has taken the measured latency before.
-func (e *latencyEstimator) expectedFrom(measured float64, server int, now float64) float64 {
+// expectedFrom is what a request sent to a server now would take, by its latency so far.
+func (e *latencyEstimator) expectedFrom(latency float64, server int, now float64) float64 {
 	s := e.servers.get(server)
 	if s.load.requestedAt > 0 && now-s.load.requestedAt >= reportWaitMS {
 		return unresponsiveLatency
@@ -127,9 +127,9 @@
 	}
 	inFlight := float64(len(s.inFlight))
 	if now-s.load.receivedAt <= reportValidMS {
-		return e.reportedLatency(measured, &s.load, max(s.load.queueLength+sinceReport, inFlight))
+		return e.reportedLatency(latency, &s.load, max(s.load.queueLength+sinceReport, inFlight))
 	}
-	return max(measured, ageFactor*age/max(inFlight, 1))
+	return max(latency, ageFactor*age/max(inFlight, 1))
 }
 
 // reportedLatency is what a load report makes a request take behind a queue. The reported latency is that of
--- a/logic/scenario_test.go
+++ b/logic/scenario_test.go
@@ -408,8 +408,8 @@
 	`)
 }
 
-// TestTrialsOfUnmeasuredServersAreFew guards against servers that are still slow and get all queries again, as the records
-// which spoke for shedding these are older than the window.
+// TestTrialsOfUnmeasuredServersAreFew guards against servers that are still slow and get all queries again,
+// as the records which spoke for shedding these are older than the window.
 func TestTrialsOfUnmeasuredServersAreFew(t *testing.T) {
 	playScenario(t, `
 		at 0: list 1:0 2:1 3:2 4:3
--- a/logic/shedding.go
+++ b/logic/shedding.go
@@ -36,9 +36,10 @@
 	return sheds(slowestLatency(q, requests)) && !g.admitsTrial(q, requests, sheds)
 }
 
-// admitsTrial reports whether a query that would be shed is admitted all the same, as by a half-open circuit breaker:
-// only records older than the window speak for shedding it, and nothing is in flight that would bring newer ones. Such
-// queries are few, so that they delay nobody where the servers are as slow as they were.
+// admitsTrial reports whether a query that would be shed is admitted all the same, as by a half-open circuit
+// breaker: only records older than the window speak for shedding it, and nothing is in flight that would
+// bring newer ones. Such queries are few, so that they delay nobody where the servers are as slow as they
+// were.
 func (g *Gatherer) admitsTrial(q *query, requests []expectedRequest, sheds func(latency float64) bool) bool {
 	if len(g.servers.busy) > 0 || g.now-g.lastTrialAt < trialIntervalMS {
 		return false
@@ -60,8 +61,8 @@
 	recentLatency float64 // by the records within the window alone, 0 where there are none
 }
 
-// expectedRequests are those of a query that would be sent. Servers that only this gatherer cannot reach do not count:
-// that is no overload.
+// expectedRequests are those of a query that would be sent. Servers that only this gatherer cannot reach do
+// not count: that is no overload.
 func (g *Gatherer) expectedRequests(q *query) (requests []expectedRequest) {
 	counted := 1.0
 	if g.loads.enabled {
