--- a/internal/drainable/drainable_test.go
+++ b/internal/drainable/drainable_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"yokeroute/internal/testbed/lateclient"
 )
 
 // listen returns a listener on a free port.
@@ -113,7 +113,7 @@
 // when.
 func TestDrainAcceptsHandshakeUnderWay(t *testing.T) {
 	l := listen(t)
-	completeHandshakesWithData(t, l)
+	lateclient.CompleteHandshakesWithData(t, l.Listener)
 	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -126,23 +126,6 @@
 	l.Close()
 }
 
-// completeHandshakesWithData has the kernel take a handshake's last segment only with data.
-func completeHandshakesWithData(t *testing.T, l *Listener) {
-	t.Helper()
-	raw, err := l.Listener.(syscall.Conn).SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
-	err = raw.Control(func(listening uintptr) {
-		if err := unix.SetsockoptInt(int(listening), unix.IPPROTO_TCP, unix.TCP_DEFER_ACCEPT, 10); err != nil {
-			t.Error(err)
-		}
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 // TestDrainClosesWithoutClients: the listener is closed once the time for handshakes is over.
 func TestDrainClosesWithoutClients(t *testing.T) {
 	l := listen(t)
--- a/internal/gatherer/frontend/listener_test.go
+++ b/internal/gatherer/frontend/listener_test.go
@@ -8,9 +8,8 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"yokeroute/internal/gatherer/dispatch"
+	"yokeroute/internal/testbed/lateclient"
 )
 
 // heldListener accepts nothing until it is released, as on a machine that has no processor left for it.
@@ -71,7 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	completeHandshakesWithData(t, tcp)
+	lateclient.CompleteHandshakesWithData(t, tcp)
 	s.handshakeTimeout = time.Second // the test itself may be late on a busy machine
 	go s.Serve(tcp)
 	t.Cleanup(func() { s.http.Close() })
@@ -95,20 +94,3 @@
 		t.Error(err)
 	}
 }
-
-// completeHandshakesWithData has the kernel take a handshake's last segment only with data.
-func completeHandshakesWithData(t *testing.T, l net.Listener) {
-	t.Helper()
-	raw, err := l.(*net.TCPListener).SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
-	err = raw.Control(func(listening uintptr) {
-		if err := unix.SetsockoptInt(int(listening), unix.IPPROTO_TCP, unix.TCP_DEFER_ACCEPT, 10); err != nil {
-			t.Error(err)
-		}
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-}
