Dispatch, handover: a slow write to the disk is logged with what it stored

What was missing: nothing in a gatherer's log tells that rounds, or the watch of discovery, waited for its disk, so that a late answer beside a slow disk looks like any other.

--- a/internal/gatherer/dispatch/nonidempotent.go
+++ b/internal/gatherer/dispatch/nonidempotent.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"yokeroute/gather"
 	"yokeroute/logic/ownership"
@@ -21,6 +22,9 @@
 	SaveMap(m *ownership.Map) error
 }
 
+// slowWriteThreshold is from which duration a write of the store is logged.
+const slowWriteThreshold = 100 * time.Millisecond
+
 // SetNonIdempotentStore has non-idempotent queries recorded before any byte of them is sent.
 func (p *Picker) SetNonIdempotentStore(store NonIdempotentStore) { p.store = store }
 
@@ -61,7 +65,9 @@
 	if len(ids) == 0 {
 		return
 	}
+	startedAt := time.Now()
 	err := p.store.RecordSent(ids, now)
+	p.logSlowWrite("sent", startedAt)
 	if err == nil {
 		return
 	}
@@ -81,7 +87,18 @@
 	if p.store == nil || !p.nonIdempotent(query) || result.Kind != Rejected {
 		return
 	}
+	defer p.logSlowWrite("not run", time.Now())
 	if err := p.store.RecordNotRun(query.ID); err != nil {
 		p.log.WithError(err).Error("non-idempotent query: rejection not recorded, its ID stays in use")
 	}
 }
+
+// logSlowWrite logs a write of the store that took long: no round runs meanwhile.
+func (p *Picker) logSlowWrite(operation string, startedAt time.Time) {
+	took := time.Since(startedAt)
+	if took < slowWriteThreshold {
+		return
+	}
+	log := p.log.WithField("operation", operation).WithField("took", took)
+	log.Warn("store: slow write")
+}
--- a/internal/gatherer/service/handover.go
+++ b/internal/gatherer/service/handover.go
@@ -1,6 +1,8 @@
 package service
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"yokeroute/gather"
@@ -9,6 +11,9 @@
 	"yokeroute/internal/storage/statedir"
 )
 
+// slowWriteThreshold is from which duration a write of the handover is logged.
+const slowWriteThreshold = 100 * time.Millisecond
+
 // handover keeps for the next process which servers drain.
 type handover struct {
 	*statedir.Handover
@@ -50,7 +55,12 @@
 			draining[address.Name] = address.StartedAt
 		}
 	}
-	if err := h.SetDraining(draining); err != nil {
+	startedAt := time.Now()
+	err := h.SetDraining(draining)
+	if took := time.Since(startedAt); took >= slowWriteThreshold {
+		h.log.WithField("took", took).Warn("handover: slow write")
+	}
+	if err != nil {
 		h.log.WithError(err).Error("handover: drains can't be stored")
 	}
 }
