Dispatch: rounds no longer wait for the disk; non-idempotent queries are recorded first

Cause: the round that decided to send a non-idempotent query wrote its ID through to the disk, on the one goroutine that runs rounds. SaveMap and the record of a rejection did the same there. Change: a non-idempotent query is recorded when it comes, before the module knows of it, by a queue with a goroutine of its own that lives only while there is something to write. Those that come during a write share the next one, and are bounded. Only a recorded query reaches the module, so that no byte can precede its record, and the module takes no wait for the disk for load of the servers. A query whose deadline or client goes meanwhile is answered at once, nothing of it is sent, and its record ends. The end of a record is written without a sync: lost by a crash of the machine, it errs on the safe side.

--- a/internal/gatherer/dispatch/intake.go
+++ b/internal/gatherer/dispatch/intake.go
@@ -11,6 +11,7 @@
 type inbox struct {
 	gather.Round
 	admitted         []*Query
+	unadmitted       []decidedQuery
 	attemptEnds      []attemptEnd
 	answersFirstPass map[uint32]bool // servers that were found to answer first passes, or not to
 	viewRequests     []chan<- []gather.EndpointView
@@ -19,6 +20,12 @@
 	pending          bool // a round is due
 }
 
+// decidedQuery is a query that ended before the module knew of it, with its result.
+type decidedQuery struct {
+	query  *Query
+	result Result
+}
+
 // attemptEnd is the end of an attempt, with the value that came.
 type attemptEnd struct {
 	attempt *Attempt
--- a/internal/gatherer/dispatch/nonidempotent.go
+++ b/internal/gatherer/dispatch/nonidempotent.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"slices"
+	"context"
 	"time"
 
 	"yokeroute/gather"
@@ -9,96 +9,82 @@
 )
 
 // NonIdempotentStore is the durable record of non-idempotent queries that may have run, and of the newest segment
-// map. It is called on the goroutine that runs rounds.
+// map. No two of its methods are called at once.
 type NonIdempotentStore interface {
 	// MayHaveRun reports whether an attempt of a query of this ID may have run. Retried is set for one that its
 	// client marked as a repeat.
 	MayHaveRun(id string, retried bool, now float64) bool
-	// RecordSent stores the IDs of queries whose first attempts are about to be sent.
+	// RecordSent stores the IDs of queries whose first attempts may be sent once it has returned.
 	RecordSent(ids []string, now float64) error
-	// RecordNotRun stores that nothing of a query has run.
+	// RecordNotRun stores that nothing of a query has run. It need not wait for the disk.
 	RecordNotRun(id string) error
 	// SaveMap stores the newest segment map.
 	SaveMap(m *ownership.Map) error
 }
 
-// slowWriteThreshold is from which duration a write of the store is logged.
-const slowWriteThreshold = 100 * time.Millisecond
+// SetNonIdempotentStore has non-idempotent queries recorded before the module decides on them. Rounds never wait for
+// the store.
+func (p *Picker) SetNonIdempotentStore(store NonIdempotentStore) {
+	p.records = newRecordQueue(store, p.settings, p.Now, p.log)
+}
 
-// SetNonIdempotentStore has non-idempotent queries recorded before any byte of them is sent.
-func (p *Picker) SetNonIdempotentStore(store NonIdempotentStore) { p.store = store }
+// CloseNonIdempotentStore ends the use of the store once what waits is written. It reports false where ctx ends before
+// that: the disk is still writing.
+func (p *Picker) CloseNonIdempotentStore(ctx context.Context) bool { return p.records.close(ctx) }
 
 func (p *Picker) nonIdempotent(query *Query) bool {
 	return p.settings.Class(query.Class).Effect == gather.NonIdempotent
 }
 
-// failIfMayHaveRun fails a non-idempotent query of whose ID an earlier attempt may have run. It reports whether it
-// did.
-func (p *Picker) failIfMayHaveRun(query *Query, now float64) bool {
-	if p.store == nil || !p.nonIdempotent(query) || !p.store.MayHaveRun(query.ID, query.Retried, now) {
-		return false
-	}
-	p.log.WithField("query", query.ID).Warn("non-idempotent query: may have run before, failed")
-	p.queries.finished = append(p.queries.finished, query)
-	query.recorded = true
-	p.deliver(query, Result{Kind: Failed})
-	return true
-}
-
-// recordNonIdempotent records a round's non-idempotent queries before their attempts are sent. Those of a query that
-// cannot be recorded are cancelled: after a crash nobody could tell whether it ran.
-func (p *Picker) recordNonIdempotent(now float64) {
-	if p.store == nil {
-		return
-	}
-	var ids []string
-	var unrecorded []*Query
-	for _, a := range p.actions.Send {
-		query := a.query.root()
-		if !a.nonIdempotent || query.recorded {
-			continue
+// pickRecorded picks a query whose ID has to be on the disk before any byte of it is sent. The module does not know of
+// the query until then, so that it takes no wait for the disk for load.
+func (p *Picker) pickRecorded(ctx context.Context, query *Query) Result {
+	record := p.records.request(query)
+	admitted := false
+	defer func() {
+		if query.rejected.Load() || !query.mayHaveRun.Load() {
+			p.records.release(record)
 		}
-		query.recorded = true
-		ids = append(ids, query.ID)
-		unrecorded = append(unrecorded, query)
-	}
-	if len(ids) == 0 {
-		return
-	}
-	startedAt := time.Now()
-	err := p.store.RecordSent(ids, now)
-	p.logSlowWrite("sent", startedAt)
-	if err == nil {
-		return
-	}
-	p.log.WithError(err).Error("non-idempotent queries: not recorded, not sent")
-	for _, a := range p.actions.Send {
-		if slices.Contains(unrecorded, a.query.root()) {
-			a.cancelled.Store(true)
+		if !admitted {
+			p.intake.release(query.size())
 		}
+	}()
+	if result, ended := p.awaitRecord(ctx, query, record); ended {
+		p.intake.enqueue(func(in *inbox) { in.unadmitted = append(in.unadmitted, decidedQuery{query, result}) })
+		return result
 	}
-	for _, query := range unrecorded { // their next attempts have to be recorded as well
-		query.recorded = false
-	}
+	admitted = true
+	return p.pickAdmitted(ctx, query)
 }
 
-// recordNotRun records that a non-idempotent query was rejected: nothing of it has run.
-func (p *Picker) recordNotRun(query *Query, result Result) {
-	if p.store == nil || !p.nonIdempotent(query) || result.Kind != Rejected {
-		return
-	}
-	defer p.logSlowWrite("not run", time.Now())
-	if err := p.store.RecordNotRun(query.ID); err != nil {
-		p.log.WithError(err).Error("non-idempotent query: rejection not recorded, its ID stays in use")
+// awaitRecord waits until a query is recorded. Where it can't be, or not in time, or its client leaves, the query ends
+// with a result.
+func (p *Picker) awaitRecord(ctx context.Context, query *Query, record *record) (result Result, ended bool) {
+	left := query.Deadline - deadlineRounds*p.schedule.interval - p.Now()
+	timeUp := time.NewTimer(time.Duration(left * float64(time.Millisecond)))
+	defer timeUp.Stop()
+	rejected := Result{Kind: Rejected, RetryAfter: p.records.retryAfter[query.Class]}
+	select {
+	case outcome := <-record.outcome:
+		switch outcome {
+		case recordSucceeded:
+			return Result{}, false
+		case recordMayHaveRun:
+			p.log.WithField("query", query.ID).Warn("non-idempotent query: may have run before, failed")
+			return Result{Kind: Failed}, true
+		}
+		return rejected, true
+	case <-timeUp.C:
+		p.log.WithField("query", query.ID).Debug("non-idempotent query: not recorded in time, rejected")
+		return rejected, true
+	case <-ctx.Done():
+		return Result{Kind: Abandoned}, true
 	}
 }
 
-// logSlowWrite logs a write of the store that took long: no round runs meanwhile.
-func (p *Picker) logSlowWrite(operation string, startedAt time.Time) {
-	took := time.Since(startedAt)
-	if took < slowWriteThreshold {
-		return
+// observeUnadmitted notifies observers of queries that ended before the module knew of them.
+func (p *Picker) observeUnadmitted(ended []decidedQuery) {
+	for _, e := range ended {
+		p.observeDecided(e.query, e.result)
 	}
-	log := p.log.WithField("operation", operation).WithField("took", took)
-	log.Warn("store: slow write")
 }
--- a/internal/gatherer/dispatch/ownership.go
+++ b/internal/gatherer/dispatch/ownership.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"yokeroute/gather"
 	"yokeroute/logic/ownership"
@@ -158,8 +157,8 @@
 	switch result {
 	case ownership.Applied:
 		log.WithField("epoch", o.Map.Epoch).Info("segment map: new epoch")
-		if p.store != nil {
-			p.saveMap()
+		if p.records != nil {
+			p.records.saveMap(o.Map)
 		}
 		return true
 	case ownership.Conflict:
@@ -176,14 +175,6 @@
 	return false
 }
 
-// saveMap stores the newest map.
-func (p *Picker) saveMap() {
-	defer p.logSlowWrite("map", time.Now())
-	if err := p.store.SaveMap(p.ownership.Map); err != nil {
-		p.log.WithError(err).Error("segment map: not saved")
-	}
-}
-
 // splitByOwner divides a query's shard requests into pieces by owner and hands them to the module.
 func (p *Picker) splitByOwner(in *gather.Round, query *Query) {
 	o := p.ownership
--- a/internal/gatherer/dispatch/picker.go
+++ b/internal/gatherer/dispatch/picker.go
@@ -27,6 +27,7 @@
 	retryBudget *retryBudget
 	gate        PolicyGate // nil where no policy is followed
 	observers   observers
+	records     *recordQueue // of non-idempotent queries, nil where nothing outlasts the process
 
 	// listRequested has a value when the module requests endpoint lists.
 	listRequested chan struct{}
@@ -39,8 +40,7 @@
 	queries   queryTable
 	actions   Actions // of the round that runs
 	twoPass   twoPassState
-	store     NonIdempotentStore // nil where nothing outlasts the process
-	ownership *ownershipState    // nil where no map says who owns which keys
+	ownership *ownershipState // nil where no map says who owns which keys
 	policy    policyState
 }
 
@@ -98,9 +98,18 @@
 // Pick submits a query and blocks until its result is decided, or until ctx ends because its client has gone. Once it
 // returns, no byte of an attempt of the query is written any more.
 func (p *Picker) Pick(ctx context.Context, query *Query) Result {
-	if !p.submit(query) {
+	if !p.reserve(query) {
 		return Result{Kind: Rejected}
 	}
+	if p.records != nil && p.records.needed(query) {
+		return p.pickRecorded(ctx, query)
+	}
+	return p.pickAdmitted(ctx, query)
+}
+
+// pickAdmitted hands a query to the module and blocks until its result is decided, or until ctx ends.
+func (p *Picker) pickAdmitted(ctx context.Context, query *Query) Result {
+	p.admit(query)
 	result := Result{Kind: InternalError} // unless the code below returns
 	defer func() {
 		query.seal()
@@ -120,6 +129,15 @@
 
 // submit leaves a query for the next round. It reports false where the platform's limit of open requests is reached.
 func (p *Picker) submit(query *Query) bool {
+	if !p.reserve(query) {
+		return false
+	}
+	p.admit(query)
+	return true
+}
+
+// reserve counts a query among the open ones. It reports false where the platform's limit of them is reached.
+func (p *Picker) reserve(query *Query) bool {
 	size := query.size()
 	id, admitted := p.intake.reserve(size)
 	if !admitted {
@@ -128,10 +146,14 @@
 	query.assignID(id)
 	query.result = make(chan Result, 1)
 	p.retryBudget.admit(p.Now(), size)
-	p.intake.enqueue(func(in *inbox) { in.admitted = append(in.admitted, query) })
 	return true
 }
 
+// admit leaves a query for the next round.
+func (p *Picker) admit(query *Query) {
+	p.intake.enqueue(func(in *inbox) { in.admitted = append(in.admitted, query) })
+}
+
 // abandon hands in that a query's client has gone.
 func (p *Picker) abandon(query *Query) {
 	p.intake.enqueue(func(in *inbox) { in.Abandoned = append(in.Abandoned, query.id) })
--- a/internal/gatherer/dispatch/query.go
+++ b/internal/gatherer/dispatch/query.go
@@ -30,7 +30,7 @@
 	result     chan Result
 	admittedAt float64
 	generation uint64      // of the policy that it is decided by
-	recorded   bool        // in the store of non-idempotent queries
+	rejected   atomic.Bool // by the module: nothing of it has run
 	mayHaveRun atomic.Bool // a byte of one of its attempts may have been written
 
 	// writeGate is held for reading while an attempt is written, so that no byte of one follows the result.
@@ -233,9 +233,13 @@
 
 // deliver hands a query's result to its client.
 func (p *Picker) deliver(query *Query, result Result) {
-	p.recordNotRun(query, result)
+	query.rejected.Store(result.Kind == Rejected)
+	p.observeDecided(query, result)
+	query.result <- result
+}
+
+func (p *Picker) observeDecided(query *Query, result Result) {
 	for _, o := range p.observers.decisions {
 		o.QueryDecided(query, result, p.schedule.lastAt)
 	}
-	query.result <- result
 }
--- a/internal/gatherer/dispatch/round.go
+++ b/internal/gatherer/dispatch/round.go
@@ -94,11 +94,11 @@
 	p.twoPass.abandonPasses(in.Abandoned)
 	in.Now = now
 	p.runModule(&in.Round)
-	p.recordNonIdempotent(now)
 	if p.gate != nil {
 		p.reportDrained()
 	}
 	p.module.answerViews(in.viewRequests)
+	p.observeUnadmitted(in.unadmitted)
 	for _, id := range in.Abandoned {
 		p.finish(p.queries.byID[id], Result{Kind: Abandoned})
 	}
--- a/internal/gatherer/dispatch/twopass.go
+++ b/internal/gatherer/dispatch/twopass.go
@@ -6,8 +6,8 @@
 	"yokeroute/logic/twopass"
 )
 
-// firstPassEndMargin is how many rounds before a query's deadline the module ends it; a first pass gets them on top.
-const firstPassEndMargin = 3
+// deadlineRounds is how many rounds before a query's deadline it is ended; a first pass gets them on top.
+const deadlineRounds = 3
 
 // pass makes a query a pass of another one. The module decides on the pass in place of its parent.
 type pass struct {
@@ -138,9 +138,6 @@
 func (p *Picker) startQuery(in *gather.Round, query *Query, now float64) {
 	query.admittedAt = now
 	query.generation = p.policy.generation
-	if p.failIfMayHaveRun(query, now) {
-		return
-	}
 	t := &p.twoPass
 	if t.decider == nil || p.ownership != nil || !t.decider.Enabled(query.Class) { // pieces go in one pass
 		p.observeAdmitted(query, nil, now)
@@ -165,7 +162,7 @@
 	for i, r := range query.ShardRequests {
 		query.twoPass.outcomes[i].Weight = r.Weight
 	}
-	first.Deadline = min(decision.FirstPassDeadline+firstPassEndMargin*p.schedule.interval, query.Deadline)
+	first.Deadline = min(decision.FirstPassDeadline+deadlineRounds*p.schedule.interval, query.Deadline)
 	first.pass.fullCallExtra = decision.FullCallExtra
 	first.assignID(p.intake.allocate(first.size()))
 	t.queries[query.id] = query
--- a/internal/gatherer/frontend/shutdown.go
+++ b/internal/gatherer/frontend/shutdown.go
@@ -63,6 +63,14 @@
 	return s.errorLog.Close()
 }
 
+// ShutdownEnd is the time by which every query has to be answered in a shutdown. It is zero before one has begun.
+func (s *Server) ShutdownEnd() time.Time {
+	if end := s.shutdown.end.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
 // closeListener accepts the connections that clients have established or are establishing, ends Serve and
 // waits for it, so that every connection is counted.
 func (s *Server) closeListener(ctx context.Context) {
--- a/internal/gatherer/service/assembly.go
+++ b/internal/gatherer/service/assembly.go
@@ -70,6 +70,12 @@
 	a.names = names
 	a.Picker.SetNonIdempotentStore(names)
 	a.hooks.close = append(a.hooks.close, func() error {
+		ctx, cancel := a.closeContext()
+		defer cancel()
+		if !a.Picker.CloseNonIdempotentStore(ctx) {
+			a.log.Warn("state: not closed, its disk is still writing")
+			return nil
+		}
 		if err := names.Close(); err != nil {
 			return fmt.Errorf("state: %w", err)
 		}
--- a/internal/gatherer/service/service.go
+++ b/internal/gatherer/service/service.go
@@ -10,6 +10,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -21,6 +22,9 @@
 	"yokeroute/internal/gatherer/shardcall"
 )
 
+// minCloseTimeout is for how long a part that closes waits for the disk at least.
+const minCloseTimeout = 20 * time.Millisecond
+
 // Service is one gatherer.
 type Service struct {
 	Picker *dispatch.Picker
@@ -123,6 +127,16 @@
 	return errors.Join(errs...)
 }
 
+// closeContext ends when a part that closes may not wait for the disk any more: the platform kills the process soon
+// after the last query.
+func (s *Service) closeContext() (context.Context, context.CancelFunc) {
+	endBy := time.Now().Add(minCloseTimeout)
+	if s.server != nil && s.server.ShutdownEnd().After(endBy) {
+		endBy = s.server.ShutdownEnd()
+	}
+	return context.WithDeadline(context.Background(), endBy)
+}
+
 // updateEndpoints hands a watch event of the endpoint list to the parts.
 func (s *Service) updateEndpoints(event gather.EndpointList, addresses []shardcall.Address) {
 	for _, update := range s.hooks.endpoints {
--- /dev/null
+++ b/internal/gatherer/service/slowdisk_test.go
@@ -0,0 +1,93 @@
+package service
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"yokeroute/internal/config/operator"
+	"yokeroute/internal/gatherer/dispatch"
+	"yokeroute/internal/storage/statedir"
+	"yokeroute/internal/testbed/experiment"
+)
+
+// slowStore is a store whose disk takes its time for each write.
+type slowStore struct {
+	dispatch.NonIdempotentStore
+	delay  time.Duration
+	writes atomic.Int64
+}
+
+// RecordSent implements dispatch.NonIdempotentStore.
+func (s *slowStore) RecordSent(ids []string, now float64) error {
+	s.writes.Add(1)
+	time.Sleep(s.delay)
+	return s.NonIdempotentStore.RecordSent(ids, now)
+}
+
+const (
+	slowDiskDeadline  = 500 * time.Millisecond
+	slowDiskObjective = 300 * time.Millisecond // of the fixture's settings
+	slowDiskLoadTime  = 3 * time.Second
+	answerTime        = 100 * time.Millisecond // that an answer may take on its way
+)
+
+// playAsync plays a load of one class.
+func playAsync(t *testing.T, address, class string) <-chan *experiment.Outcome {
+	load := experiment.Load{Origin: class, Class: class, Address: address, Rate: 60, ShardRequests: 2, Shards: 12,
+		Deadline: slowDiskDeadline, Seed: uint64(len(class))}
+	outcome := make(chan *experiment.Outcome, 1)
+	go func() { outcome <- experiment.Play(t.Context(), load, slowDiskLoadTime, slowDiskObjective) }()
+	return outcome
+}
+
+// TestSlowDiskOfAGathererDelaysNoIdempotentQuery guards against a gatherer that answers nobody while its disk writes.
+// All idempotent queries are served; non-idempotent ones are served or rejected within their deadline, beside a disk
+// that takes longer than that as well.
+func TestSlowDiskOfAGathererDelaysNoIdempotentQuery(t *testing.T) {
+	for _, delay := range []time.Duration{slowDiskDeadline / 4, 2 * slowDiskDeadline} {
+		t.Run(delay.String(), func(t *testing.T) {
+			_, s, l := assembleGatherer(t, &operator.File{BackgroundShare: 0.05}, plainMachine,
+				func(text string) string { return text })
+			state, _, err := statedir.OpenGathererState(t.TempDir(), 1<<20, 60_000, s.Picker.Now())
+			if err != nil {
+				t.Fatal(err)
+			}
+			store := &slowStore{NonIdempotentStore: state, delay: delay}
+			s.Picker.SetNonIdempotentStore(store)
+			end := runGatherer(t, s, l)
+			idempotentLoad := playAsync(t, l.Addr().String(), "any")
+			recordedLoad := playAsync(t, l.Addr().String(), "once")
+			idempotent, recorded := <-idempotentLoad, <-recordedLoad
+			end()
+			if !s.Picker.CloseNonIdempotentStore(t.Context()) || state.Close() != nil {
+				t.Error("the state is not closed")
+			}
+			if idempotent.Sent < 100 || idempotent.Served != idempotent.Sent || idempotent.WithinObjective != idempotent.Sent {
+				t.Errorf("idempotent queries: %+v", idempotent)
+			}
+			checkRecorded(t, recorded, delay)
+			if most := int64(slowDiskLoadTime+slowDiskDeadline)/int64(delay) + 1; store.writes.Load() > most {
+				t.Errorf("%d writes, %d fit in", store.writes.Load(), most)
+			}
+		})
+	}
+}
+
+// checkRecorded checks that non-idempotent queries were served where two writes fit into their time, and that the others
+// were rejected in time.
+func checkRecorded(t *testing.T, recorded *experiment.Outcome, delay time.Duration) {
+	t.Helper()
+	want := recorded.Sent
+	if delay > slowDiskDeadline {
+		want = 0
+	}
+	if recorded.Sent < 100 || recorded.Served != want || recorded.Served+recorded.Rejected != recorded.Sent {
+		t.Errorf("non-idempotent queries: %d served, %d expected: %+v", recorded.Served, want, recorded)
+	}
+	for _, unserved := range recorded.Unserved {
+		if unserved.Latency > slowDiskDeadline+answerTime {
+			t.Errorf("answered late: %+v", unserved)
+		}
+	}
+}
--- a/internal/storage/journal/journal.go
+++ b/internal/storage/journal/journal.go
@@ -104,6 +104,21 @@
 // Append stores records by one write, and returns once they are on the disk. After an error the content of the disk
 // is unknown: nothing more can be appended until a snapshot has begun new files, or the folder is opened anew.
 func (j *Journal) Append(records ...[]byte) error {
+	if err := j.write(records); err != nil {
+		return err
+	}
+	if err := j.sync(j.file); err != nil {
+		return j.fail(err)
+	}
+	return nil
+}
+
+// AppendUnsynced stores records by one write and does not wait for the disk. They outlast the process; a crash of the
+// machine may lose them until a later Append has returned.
+func (j *Journal) AppendUnsynced(records ...[]byte) error { return j.write(records) }
+
+// write writes records behind the journal's end.
+func (j *Journal) write(records [][]byte) error {
 	if j.failure != nil {
 		return j.failure
 	}
@@ -114,18 +129,19 @@
 		}
 		buf = appendRecord(buf, j.generation, j.size+int64(len(buf)), record)
 	}
-	_, err := j.file.WriteAt(buf, j.size)
-	if err == nil {
-		err = j.sync(j.file)
-	}
-	if err != nil {
-		j.failure = fmt.Errorf("journal: %w", err)
-		return j.failure
+	if _, err := j.file.WriteAt(buf, j.size); err != nil {
+		return j.fail(err)
 	}
 	j.size += int64(len(buf))
 	return nil
 }
 
+// fail has nothing more appended until a snapshot has begun new files.
+func (j *Journal) fail(err error) error {
+	j.failure = fmt.Errorf("journal: %w", err)
+	return j.failure
+}
+
 // Failed reports whether a write has failed, so that records can only be stored by a snapshot.
 func (j *Journal) Failed() bool { return j.failure != nil }
 
--- a/internal/storage/statedir/gathererstate.go
+++ b/internal/storage/statedir/gathererstate.go
@@ -151,13 +151,20 @@
 	return err
 }
 
-// RecordNotRun stores that nothing of a query has run, so that its client may repeat it.
+// RecordNotRun stores that nothing of a query has run, so that its client may repeat it. It does not wait for the disk:
+// where a crash of the machine loses the record, the query may have run.
 func (g *GathererState) RecordNotRun(id string) error {
 	if _, known := g.sentAt[id]; !known {
 		return nil
 	}
 	delete(g.sentAt, id)
-	return g.append([][]byte{encodeRecord(stateRecord{NotRun: id})})
+	if g.journal == nil {
+		return nil
+	}
+	if err := g.journal.AppendUnsynced(encodeRecord(stateRecord{NotRun: id})); err != nil {
+		return err
+	}
+	return g.snapshotIfDue()
 }
 
 // SaveMap stores a map, unless it is no newer than the stored one.
@@ -187,6 +194,11 @@
 	if err := g.journal.Append(records...); err != nil {
 		return err
 	}
+	return g.snapshotIfDue()
+}
+
+// snapshotIfDue replaces a journal that has outgrown its limit.
+func (g *GathererState) snapshotIfDue() error {
 	if !g.journal.SnapshotDue() {
 		return nil
 	}
--- a/logic/finish.go
+++ b/logic/finish.go
@@ -35,11 +35,15 @@
 
 // retryAfter is the advice when to come again. After its latency objective a query earns nothing by that.
 func (g *Gatherer) retryAfter(q *query) float64 {
-	after := max(minRetryAfterMS, g.latencies.windowMedian)
 	if g.now >= q.arrivedAt+q.class.LatencyObjective {
-		after = q.class.Deadline
+		return LateRetryAfter(g.settings, &q.class.Class)
 	}
-	return min(after, g.settings.MaxRetryAfter)
+	return min(max(minRetryAfterMS, g.latencies.windowMedian), g.settings.MaxRetryAfter)
+}
+
+// LateRetryAfter is the advice for a query of a class that nothing can be earned by any more.
+func LateRetryAfter(settings *gather.Settings, class *gather.Class) float64 {
+	return min(class.Deadline, settings.MaxRetryAfter)
 }
 
 // finish ends a query's requests: what waits is dropped and what is in flight is cancelled.
