Handover: the watch of discovery and the end of a gatherer no longer wait for the disk

What operators saw: beside a slow disk a gatherer with a state folder took over endpoint lists late, was ready late, and "has not ended 2.2 s after SIGTERM". Cause: which servers drain was stored, with three waits for the disk, on the goroutine that watches discovery, at the start as well; the end of the process waits for that goroutine. Change: a goroutine of its own writes, which lives only while there is something to write, and of several changes the newest.

--- a/internal/gatherer/dispatch/recordqueue.go
+++ b/internal/gatherer/dispatch/recordqueue.go
@@ -120,7 +120,7 @@
 	case recordWaiting:
 		q.size -= r.size
 		q.waiting = slices.DeleteFunc(q.waiting, func(other *record) bool { return other == r })
-	case recordWriting: // the write stores it all the same, settle ends it
+	case recordWriting: // the write stores it all the same, finishWrite ends it
 		q.size -= r.size
 	case recordStored:
 		q.endStoredLocked(r.id)
@@ -150,7 +150,7 @@
 
 // write stores all that waits. It is the only user of the store.
 func (q *recordQueue) write() {
-	records, notRun, newest := q.take()
+	records, notRun, newest := q.nextBatch()
 	startedAt := time.Now()
 	for _, id := range notRun {
 		if err := q.store.RecordNotRun(id); err != nil {
@@ -175,8 +175,8 @@
 	}
 }
 
-// take takes over what waits, but of several queries of one ID the first alone.
-func (q *recordQueue) take() (records []*record, notRun []string, newest *ownership.Map) {
+// nextBatch empties the queue, but of several queries of one ID the first alone.
+func (q *recordQueue) nextBatch() (records []*record, notRun []string, newest *ownership.Map) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	notRun = q.notRun
@@ -219,7 +219,7 @@
 			markFailed(outcomes)
 		}
 	}
-	q.settle(records, outcomes)
+	q.finishWrite(records, outcomes)
 }
 
 // markFailed has a write that failed be the outcome of those that it should have stored.
@@ -231,8 +231,8 @@
 	}
 }
 
-// settle hands the outcomes of a write to those who wait. A stored record that was released meanwhile ends.
-func (q *recordQueue) settle(records []*record, outcomes []recordOutcome) {
+// finishWrite hands the outcomes of a write to those who wait. A stored record that was released meanwhile ends.
+func (q *recordQueue) finishWrite(records []*record, outcomes []recordOutcome) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for i, r := range records {
--- a/internal/gatherer/service/handover.go
+++ b/internal/gatherer/service/handover.go
@@ -1,6 +1,8 @@
 package service
 
 import (
+	"context"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -9,15 +11,30 @@
 	"yokeroute/internal/gatherer/discovery"
 	"yokeroute/internal/gatherer/shardcall"
 	"yokeroute/internal/storage/statedir"
+	"yokeroute/internal/worker"
 )
 
 // slowWriteThreshold is from which duration a write of the handover is logged.
 const slowWriteThreshold = 100 * time.Millisecond
 
-// handover keeps for the next process which servers drain.
+// handover keeps for the next process which servers drain. It writes on a goroutine of its own, so that the watch of
+// discovery does not wait for the disk.
 type handover struct {
-	*statedir.Handover
-	log *logrus.Logger
+	recovered map[string]float64 // drains that an earlier process stored
+	write     func(draining map[string]float64) error
+	log       *logrus.Logger
+	worker    *worker.Worker
+
+	mu       sync.Mutex
+	draining map[string]float64 // to be stored, by name: since when the draining process is up
+}
+
+func newHandover(
+	recovered map[string]float64, write func(draining map[string]float64) error, log *logrus.Logger,
+) *handover {
+	h := &handover{recovered: recovered, write: write, log: log}
+	h.worker = worker.New(h.writeNewest)
+	return h
 }
 
 // addHandover adds the handover of drains to the gatherer's next process.
@@ -32,19 +49,25 @@
 	if err != nil {
 		a.log.WithError(err).Warn("handover: stored drains can't be read")
 	}
-	a.handover = &handover{stored, a.log}
+	a.handover = newHandover(stored.Draining, stored.SetDraining, a.log)
 	a.hooks.endpoints = append(a.hooks.endpoints, a.handover.store)
+	a.hooks.close = append(a.hooks.close, func() error {
+		ctx, cancel := a.closeContext()
+		defer cancel()
+		a.handover.close(ctx)
+		return nil
+	})
 	return nil
 }
 
 // apply marks the drains that an earlier process knew of in the list that the platform knows, which may be older.
 func (h *handover) apply(known *discovery.Response) {
-	if marked := known.MarkDraining(h.Draining); marked > 0 {
+	if marked := known.MarkDraining(h.recovered); marked > 0 {
 		h.log.WithField("servers", marked).Info("handover: stored drains applied")
 	}
 }
 
-// store stores which servers drain. What earlier processes stored stays until discovery itself has reported it.
+// store has stored which servers drain. What earlier processes stored stays until discovery itself has reported it.
 func (h *handover) store(event gather.EndpointList, addresses []shardcall.Address) {
 	if event.Failed {
 		return
@@ -55,8 +78,19 @@
 			draining[address.Name] = address.StartedAt
 		}
 	}
+	h.mu.Lock()
+	h.draining = draining
+	h.mu.Unlock()
+	h.worker.Wake()
+}
+
+// writeNewest stores the drains that were reported last.
+func (h *handover) writeNewest() {
+	h.mu.Lock()
+	draining := h.draining
+	h.mu.Unlock()
 	startedAt := time.Now()
-	err := h.SetDraining(draining)
+	err := h.write(draining)
 	if took := time.Since(startedAt); took >= slowWriteThreshold {
 		h.log.WithField("took", took).Warn("handover: slow write")
 	}
@@ -64,3 +98,10 @@
 		h.log.WithError(err).Error("handover: drains can't be stored")
 	}
 }
+
+// close waits until the newest drains are stored, or until ctx ends.
+func (h *handover) close(ctx context.Context) {
+	if !h.worker.WaitIdle(ctx) {
+		h.log.Warn("handover: the disk is still writing, the next process may not know of the newest drains")
+	}
+}
