Files that are replaced at once: one writer in place of three

Cause: the commands' atomicFile and tlskeys' replaceFile stood beside storage/atomicfile; keys and certificates were replaced without a sync, so that a crash could leave an empty one. Change: atomicfile.File has a mode and can keep a file that exists; all three use it. The test of the commands' writer moves with it, its checks as they were and one of the mode more (TestFileIsCompleteOrAbsent).

--- a/cmd/yokeroute/migrate.go
+++ b/cmd/yokeroute/migrate.go
@@ -4,11 +4,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 
 	"github.com/spf13/cobra"
 
 	"yokeroute/internal/config/migrate"
+	"yokeroute/internal/storage/atomicfile"
 )
 
 // migrateOptions are the flags of migrate.
@@ -62,18 +62,12 @@
 
 // write writes the new configuration to its file, or to standard output in a dry run.
 func (o *migrateOptions) write(stdout io.Writer, text []byte) error {
-	content := func(w io.Writer) error {
-		_, err := w.Write(text)
-		return err
-	}
 	if o.dryRun {
-		return content(stdout)
-	}
-	file := atomicFile{name: o.out, mode: privateFileMode, publish: os.Link}
-	if o.overwrite {
-		file.publish = os.Rename
+		_, err := stdout.Write(text)
+		return err
 	}
-	if err := file.write(content); err != nil {
+	file := atomicfile.File{Name: o.out, Mode: atomicfile.PrivateMode, KeepExisting: !o.overwrite}
+	if err := file.Write(text); err != nil {
 		return fmt.Errorf("%s: %w", o.out, err)
 	}
 	return nil
--- a/cmd/yokeroute/migrate_test.go
+++ b/cmd/yokeroute/migrate_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -45,34 +44,3 @@
 		t.Errorf("without a fleet: %v", err)
 	}
 }
-
-// TestAtomicFileIsCompleteOrAbsent: a file is replaced only on request, and nothing is left behind by a failed write.
-func TestAtomicFileIsCompleteOrAbsent(t *testing.T) {
-	write := func(name, text string, put func(from, to string) error) error {
-		file := atomicFile{name: name, mode: privateFileMode, publish: put}
-		return file.write(func(w io.Writer) error { _, err := io.WriteString(w, text); return err })
-	}
-	folder := t.TempDir()
-	name := filepath.Join(folder, "new.json")
-	if err := write(name, "one", os.Link); err != nil {
-		t.Fatal(err)
-	}
-	if err := write(name, "two", os.Link); err == nil {
-		t.Error("written over")
-	}
-	if text, _ := os.ReadFile(name); string(text) != "one" {
-		t.Errorf("%q", text)
-	}
-	if err := write(name, "three", os.Rename); err != nil {
-		t.Fatal(err)
-	}
-	if text, _ := os.ReadFile(name); string(text) != "three" {
-		t.Errorf("%q", text)
-	}
-	if left, _ := os.ReadDir(folder); len(left) != 1 {
-		t.Errorf("left behind: %v", left)
-	}
-	if err := write(filepath.Join(folder, "no", "such"), "", os.Rename); err == nil {
-		t.Error("written into a folder that is not there")
-	}
-}
--- a/cmd/yokeroute/plansolve.go
+++ b/cmd/yokeroute/plansolve.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"yokeroute/internal/config/placementfile"
+	"yokeroute/internal/storage/atomicfile"
 	"yokeroute/logic/balance"
 	"yokeroute/logic/placement"
 	"yokeroute/logic/placing"
@@ -83,8 +83,8 @@
 		return err
 	}
 	if o.out != "" && s.Plan != nil {
-		file := atomicFile{name: o.out, mode: publicFileMode, publish: os.Rename}
-		if err := file.write(s.writePlan); err != nil {
+		file := atomicfile.File{Name: o.out, Mode: atomicfile.PublicMode}
+		if err := file.WriteFrom(s.writePlan); err != nil {
 			return err
 		}
 	}
--- a/cmd/yokeroute/segmentsmove.go
+++ b/cmd/yokeroute/segmentsmove.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"yokeroute/internal/control/segments"
+	"yokeroute/internal/storage/atomicfile"
 	"yokeroute/logic/ownership"
 )
 
@@ -77,7 +78,7 @@
 	if o.out == "" {
 		return nil
 	}
-	if err := os.WriteFile(o.out, []byte(segments.FormatMap(next, shards)), publicFileMode); err != nil {
+	if err := os.WriteFile(o.out, []byte(segments.FormatMap(next, shards)), atomicfile.PublicMode); err != nil {
 		return err
 	}
 	fmt.Fprintf(w, "the map of epoch %d is in %s\n", change.Epoch, o.out)
--- a/internal/storage/atomicfile/atomicfile_test.go
+++ b/internal/storage/atomicfile/atomicfile_test.go
@@ -1,6 +1,7 @@
 package atomicfile
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 	"testing"
@@ -32,3 +33,37 @@
 		t.Errorf("%v, %v", entries, err)
 	}
 }
+
+// TestFileIsCompleteOrAbsent: a file is replaced only on request, and nothing is left behind by a failed write.
+func TestFileIsCompleteOrAbsent(t *testing.T) {
+	write := func(name, text string, keepExisting bool) error {
+		file := File{Name: name, Mode: PrivateMode, KeepExisting: keepExisting}
+		return file.WriteFrom(func(w io.Writer) error { _, err := io.WriteString(w, text); return err })
+	}
+	folder := t.TempDir()
+	name := filepath.Join(folder, "new.json")
+	if err := write(name, "one", true); err != nil {
+		t.Fatal(err)
+	}
+	if err := write(name, "two", true); err == nil {
+		t.Error("written over")
+	}
+	if text, _ := os.ReadFile(name); string(text) != "one" {
+		t.Errorf("%q", text)
+	}
+	if err := write(name, "three", false); err != nil {
+		t.Fatal(err)
+	}
+	if text, _ := os.ReadFile(name); string(text) != "three" {
+		t.Errorf("%q", text)
+	}
+	if info, err := os.Stat(name); err != nil || info.Mode().Perm() != PrivateMode {
+		t.Errorf("%v, %v", info, err)
+	}
+	if left, _ := os.ReadDir(folder); len(left) != 1 {
+		t.Errorf("left behind: %v", left)
+	}
+	if err := write(filepath.Join(folder, "no", "such"), "", false); err == nil {
+		t.Error("written into a folder that is not there")
+	}
+}
--- a/internal/tlskeys/authority.go
+++ b/internal/tlskeys/authority.go
@@ -12,19 +12,17 @@
 	"math/big"
 	"net"
 	"net/url"
-	"os"
 	"path/filepath"
 	"strings"
 	"time"
+
+	"yokeroute/internal/storage/atomicfile"
 )
 
 const (
 	authorityCertFile = "ca.pem"
 	authorityKeyFile  = "ca.key"
 
-	certFileMode os.FileMode = 0o644
-	keyFileMode  os.FileMode = 0o600
-
 	clockSkew  = time.Minute // by which the clocks of two machines may differ
 	serialBits = 120
 )
@@ -150,10 +148,10 @@
 		return err
 	}
 	key := encodePEM(privateKeyBlock, der)
-	if err := replaceFile(filepath.Join(dir, authorityKeyFile), key, keyFileMode); err != nil {
+	if err := writePrivate(filepath.Join(dir, authorityKeyFile), key); err != nil {
 		return err
 	}
-	return replaceFile(filepath.Join(dir, authorityCertFile), a.PEM(), certFileMode)
+	return atomicfile.Write(filepath.Join(dir, authorityCertFile), a.PEM())
 }
 
 // LoadAuthority reads an authority from a folder.
@@ -203,17 +201,13 @@
 		Key:   filepath.Join(dir, name+".key"),
 		Trust: filepath.Join(dir, authorityCertFile),
 	}
-	if err := replaceFile(f.Key, key, keyFileMode); err != nil {
+	if err := writePrivate(f.Key, key); err != nil {
 		return f, err
 	}
-	return f, replaceFile(f.Cert, cert, certFileMode)
+	return f, atomicfile.Write(f.Cert, cert)
 }
 
-// replaceFile replaces a file atomically.
-func replaceFile(file string, text []byte, mode os.FileMode) error {
-	temporary := file + ".new"
-	if err := os.WriteFile(temporary, text, mode); err != nil {
-		return err
-	}
-	return os.Rename(temporary, file)
+// writePrivate replaces a file that nobody else may read.
+func writePrivate(file string, text []byte) error {
+	return atomicfile.File{Name: file, Mode: atomicfile.PrivateMode}.Write(text)
 }
--- a/internal/tlskeys/tlskeys_test.go
+++ b/internal/tlskeys/tlskeys_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"yokeroute/internal/storage/atomicfile"
 	"yokeroute/logic/admission"
 )
 
@@ -306,11 +307,11 @@
 	// A certificate whose key has not come yet.
 	cert, key, err := issuer.authority.Issue([]string{"127.0.0.1"}, ValidFor(time.Hour), Server)
 	issuer.noError(err)
-	issuer.noError(replaceFile(server.files.Cert, cert, 0o644))
+	issuer.noError(atomicfile.Write(server.files.Cert, cert))
 	if err := server.store.Reload(nil); err == nil || server.store.Keys() != before {
 		t.Fatal("half of a pair is in force")
 	}
-	issuer.noError(replaceFile(server.files.Key, key, 0o600))
+	issuer.noError(writePrivate(server.files.Key, key))
 	until := time.Now().Add(10 * time.Second)
 	for server.store.Keys() == before && time.Now().Before(until) { // the watch finds it
 		time.Sleep(5 * time.Millisecond)
