State: a test wants the end of a record to wait for no sync, and to err on the safe side

Change: TestEndOfARecordWaitsForNoSync counts syncs, and opens what crashes of the process and of the machine leave. Result: it fails where the end is synced ("<nil>, 2 syncs"), and passes on the text as it is.

--- a/internal/storage/statedir/gathererstate_test.go
+++ b/internal/storage/statedir/gathererstate_test.go
@@ -112,6 +112,37 @@
 	}
 }
 
+// TestEndOfARecordWaitsForNoSync guards against clients that wait for the disk to be told that nothing of their query has
+// run. The end outlasts the process; where a crash of the machine loses it, a repeat fails.
+func TestEndOfARecordWaitsForNoSync(t *testing.T) {
+	dir := t.TempDir()
+	g, _ := openState(t, dir, 0)
+	syncs := 0
+	withSync(t, g, dir, func(f *os.File) error {
+		syncs++
+		return f.Sync()
+	})
+	if err := g.RecordSent([]string{"a", "b"}, 1); err != nil || syncs != 1 {
+		t.Fatalf("%v, %d syncs", err, syncs)
+	}
+	synced := copyDir(t, dir) // what a crash of the machine may leave
+	if err := g.RecordNotRun("a"); err != nil || syncs != 1 {
+		t.Errorf("%v, %d syncs", err, syncs)
+	}
+	for _, c := range []struct {
+		left        string
+		aMayHaveRun bool
+	}{{copyDir(t, dir), false}, {synced, true}} {
+		after, r := openState(t, c.left, 2)
+		if r.Damaged || after.MayHaveRun("a", true, 3) != c.aMayHaveRun || !after.MayHaveRun("b", false, 3) {
+			t.Errorf("%+v: a may have run: %t", r, after.MayHaveRun("a", true, 3))
+		}
+	}
+	if err := g.RecordSent([]string{"a"}, 2); err != nil || syncs != 2 || !g.MayHaveRun("a", false, 3) {
+		t.Errorf("its repeat: %v, %d syncs", err, syncs)
+	}
+}
+
 // TestClaimThatWasNotWrittenIsUnknown has the disk refuse a claim. It must not count as stored when it is recorded
 // again.
 func TestClaimThatWasNotWrittenIsUnknown(t *testing.T) {
