Service: the end waits 20 ms for records, and for drains until queries are answered

Cause: the end waited for the record queue until 0.1 s before the kill. By its dump it was in CloseNonIdempotentStore while the queue synced a record whose query was over. Change: it waits 20 ms for records, which no client waits for any more. For the newest drains, which the next process needs, it waits until all queries are answered, 0.2 s before the kill in place of 0.1.

--- a/internal/gatherer/frontend/shutdown.go
+++ b/internal/gatherer/frontend/shutdown.go
@@ -63,10 +63,11 @@
 	return s.errorLog.Close()
 }
 
-// ShutdownEnd is the time by which every query has to be answered in a shutdown. It is zero before one has begun.
-func (s *Server) ShutdownEnd() time.Time {
+// AnswerDeadline is the time by which the queries that come in a shutdown are answered. It is zero before one has
+// begun.
+func (s *Server) AnswerDeadline() time.Time {
 	if end := s.shutdown.end.Load(); end != nil {
-		return *end
+		return end.Add(-answerMargin)
 	}
 	return time.Time{}
 }
--- a/internal/gatherer/service/assembly.go
+++ b/internal/gatherer/service/assembly.go
@@ -70,7 +70,7 @@
 	a.names = names
 	a.Picker.SetNonIdempotentStore(names)
 	a.hooks.close = append(a.hooks.close, func() error {
-		ctx, cancel := a.closeContext()
+		ctx, cancel := context.WithTimeout(context.Background(), storeCloseTimeout)
 		defer cancel()
 		if !a.Picker.CloseNonIdempotentStore(ctx) {
 			a.log.Warn("state: not closed, its disk is still writing")
--- a/internal/gatherer/service/handover.go
+++ b/internal/gatherer/service/handover.go
@@ -52,7 +52,7 @@
 	a.handover = newHandover(stored.Draining, stored.SetDraining, a.log)
 	a.hooks.endpoints = append(a.hooks.endpoints, a.handover.store)
 	a.hooks.close = append(a.hooks.close, func() error {
-		ctx, cancel := a.closeContext()
+		ctx, cancel := context.WithDeadline(context.Background(), a.drainDeadline())
 		defer cancel()
 		a.handover.close(ctx)
 		return nil
--- a/internal/gatherer/service/service.go
+++ b/internal/gatherer/service/service.go
@@ -22,8 +22,8 @@
 	"yokeroute/internal/gatherer/shardcall"
 )
 
-// minCloseTimeout is for how long a part that closes waits for the disk at least.
-const minCloseTimeout = 20 * time.Millisecond
+// storeCloseTimeout is for how long the end of the process waits for a write that no client waits for.
+const storeCloseTimeout = 20 * time.Millisecond
 
 // Service is one gatherer.
 type Service struct {
@@ -127,14 +127,14 @@
 	return errors.Join(errs...)
 }
 
-// closeContext ends when a part that closes may not wait for the disk any more: the platform kills the process soon
-// after the last query.
-func (s *Service) closeContext() (context.Context, context.CancelFunc) {
-	endBy := time.Now().Add(minCloseTimeout)
-	if s.server != nil && s.server.ShutdownEnd().After(endBy) {
-		endBy = s.server.ShutdownEnd()
+// drainDeadline is until when the end of the process may wait for the disk: the platform kills it soon after the last
+// query.
+func (s *Service) drainDeadline() time.Time {
+	deadline := time.Now().Add(storeCloseTimeout)
+	if s.server != nil && s.server.AnswerDeadline().After(deadline) {
+		return s.server.AnswerDeadline()
 	}
-	return context.WithDeadline(context.Background(), endBy)
+	return deadline
 }
 
 // updateEndpoints hands a watch event of the endpoint list to the parts.
