--- a/internal/storage/journal/journal.go
+++ b/internal/storage/journal/journal.go
@@ -29,6 +29,7 @@
 	size       int64
 	failure    error // of an earlier write, after which the files' content is unknown; a snapshot ends it
 	sync       func(*os.File) error
+	unsynced   bool // the snapshot and the names of the files, as Open has left them
 }
 
 // Config is what a Journal needs.
@@ -48,7 +49,8 @@
 	Empty     bool  // there was nothing
 }
 
-// Open opens a folder and hands its records to config.Load.
+// Open opens a folder and hands its records to config.Load. It does not wait for the disk: what it writes is synced by
+// the first Append. A crash of the machine before that may leave a folder that is reported as damaged.
 func Open(config Config) (*Journal, Recovery, error) {
 	var found Recovery
 	if err := os.MkdirAll(config.Folder, 0o755); err != nil {
@@ -70,7 +72,8 @@
 		if len(generations) > 0 {
 			j.generation = generations[0]
 		}
-		return j, found, j.writeSnapshot(func(func([]byte) error) error { return nil })
+		j.unsynced = true
+		return j, found, j.writeSnapshot(noSync, func(func([]byte) error) error { return nil })
 	}
 	if err := j.replay(config.Load, &found); err != nil {
 		return nil, found, err
@@ -107,12 +110,32 @@
 	if err := j.write(records); err != nil {
 		return err
 	}
-	if err := j.sync(j.file); err != nil {
+	if err := errors.Join(j.sync(j.file), j.syncOpened()); err != nil {
 		return j.fail(err)
 	}
 	return nil
 }
 
+// noSync stands for sync where nothing is acknowledged yet.
+func noSync(*os.File) error { return nil }
+
+// syncOpened syncs what Open has written beside the journal.
+func (j *Journal) syncOpened() error {
+	if !j.unsynced {
+		return nil
+	}
+	snapshot, err := os.Open(generationPath(j.folder, snapshotPrefix, j.generation))
+	if err != nil {
+		return err
+	}
+	defer snapshot.Close()
+	if err := errors.Join(j.sync(snapshot), j.syncFolder(j.sync)); err != nil {
+		return err
+	}
+	j.unsynced = false
+	return nil
+}
+
 // AppendUnsynced stores records by one write and does not wait for the disk. They outlast the process; a crash of the
 // machine may lose them until a later Append has returned.
 func (j *Journal) AppendUnsynced(records ...[]byte) error { return j.write(records) }
@@ -154,10 +177,11 @@
 // Snapshot replaces all records by others that stand for them, in new files. write gets a function that takes these.
 func (j *Journal) Snapshot(write func(put func(record []byte) error) error) error {
 	previous := j.file
-	if err := j.writeSnapshot(write); err != nil {
+	if err := j.writeSnapshot(j.sync, write); err != nil {
 		return err
 	}
 	j.failure = nil
+	j.unsynced = false
 	if previous != nil {
 		previous.Close()
 	}
--- a/internal/storage/journal/journal_test.go
+++ b/internal/storage/journal/journal_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -198,6 +199,51 @@
 	}
 }
 
+// TestOpenWaitsForNoSync guards against a process that serves nobody until its disk has synced a new folder, or one with
+// a torn journal. The first record counts as stored once all that it needs is synced.
+func TestOpenWaitsForNoSync(t *testing.T) {
+	for _, torn := range []bool{false, true} {
+		dir := t.TempDir()
+		if torn {
+			j, _, _ := openJournal(t, dir, 1<<20)
+			j.Append([]byte("first"))
+			j.Close()
+			path := singleFile(t, dir, journalPrefix)
+			text, _ := os.ReadFile(path)
+			os.WriteFile(path, append(text, "torn"...), 0o600)
+		}
+		for fails := range 5 { // the last ones do not come
+			var synced []string
+			j, found, err := Open(Config{Folder: copyDir(t, dir), MaxBytes: 1 << 20, Load: func([]byte) error { return nil },
+				Sync: func(f *os.File) error {
+					synced = append(synced, strings.SplitAfter(filepath.Base(f.Name()), "-")[0])
+					if len(synced) > fails {
+						return fs.ErrPermission
+					}
+					return f.Sync()
+				}})
+			if err != nil || len(synced) > 0 || (found.TornBytes > 0) != torn {
+				t.Fatalf("%v, %v synced, %+v", err, synced, found)
+			}
+			want := []string{journalPrefix, snapshotPrefix, filepath.Base(j.folder)}
+			if torn {
+				want = want[:1]
+			}
+			if err := j.Append([]byte("record")); (err == nil) != (fails >= len(want)) {
+				t.Errorf("torn %t, call %d fails, synced are %v: %v", torn, fails, synced, err)
+			}
+			if fails >= len(want) && !slices.Equal(synced, want) {
+				t.Errorf("synced are %v, want %v", synced, want)
+			}
+			synced = nil
+			if err := j.Append([]byte("second")); fails > len(want) && (err != nil || len(synced) != 1) {
+				t.Errorf("the second record: %v, %v synced", err, synced)
+			}
+			j.Close()
+		}
+	}
+}
+
 // TestFailingDiskStopsTheJournal has the disk fail from each of its calls on. The journal stops, and what was
 // acknowledged is there afterwards.
 func TestFailingDiskStopsTheJournal(t *testing.T) {
--- a/internal/storage/journal/recovery.go
+++ b/internal/storage/journal/recovery.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/binary"
-	"errors"
 	"io"
 	"os"
 )
@@ -37,7 +36,7 @@
 	return nil
 }
 
-// truncate cuts a journal off behind its readable records.
+// truncate cuts a journal off behind its readable records. The next sync of the file covers it.
 func (j *Journal) truncate(file *os.File, size int64, found *Recovery) error {
 	info, err := file.Stat()
 	if err != nil {
@@ -51,7 +50,7 @@
 	if hasLaterRecord(file, j.generation, size, info.Size()) {
 		found.Damaged = true
 	}
-	return errors.Join(file.Truncate(size), j.sync(file))
+	return file.Truncate(size)
 }
 
 // readRecords hands the readable records of a journal to visit, and returns the size of these.
--- a/internal/storage/journal/snapshot.go
+++ b/internal/storage/journal/snapshot.go
@@ -62,9 +62,9 @@
 
 // writeSnapshot begins the next generation. The files of the present one are removed once the new ones are on the
 // disk.
-func (j *Journal) writeSnapshot(write func(put func([]byte) error) error) error {
+func (j *Journal) writeSnapshot(sync func(*os.File) error, write func(put func([]byte) error) error) error {
 	generation := j.generation + 1
-	temporary, err := j.writeSnapshotFile(generation, write)
+	temporary, err := j.writeSnapshotFile(generation, sync, write)
 	if temporary != "" {
 		defer func() { _ = os.Remove(temporary) }() // unless it was renamed
 	}
@@ -79,7 +79,7 @@
 		return err
 	}
 	snapshotPath := generationPath(j.folder, snapshotPrefix, generation)
-	if err := errors.Join(j.sync(journal), os.Rename(temporary, snapshotPath), j.syncFolder()); err != nil {
+	if err := errors.Join(sync(journal), os.Rename(temporary, snapshotPath), j.syncFolder(sync)); err != nil {
 		journal.Close()
 		// The snapshot may have its name already, and would be read in place of what is appended to the present journal.
 		j.failure = fmt.Errorf("journal: %w", err)
@@ -93,7 +93,9 @@
 }
 
 // writeSnapshotFile writes a snapshot to a temporary file, whose name it returns.
-func (j *Journal) writeSnapshotFile(generation uint64, write func(put func([]byte) error) error) (string, error) {
+func (j *Journal) writeSnapshotFile(
+	generation uint64, sync func(*os.File) error, write func(put func([]byte) error) error,
+) (string, error) {
 	file, err := os.CreateTemp(j.folder, temporaryPrefix+"*")
 	if err != nil {
 		return "", err
@@ -113,17 +115,17 @@
 		}
 		return put(record)
 	})
-	err = errors.Join(err, put(nil), out.Flush(), file.Chmod(0o644), j.sync(file), file.Close())
+	err = errors.Join(err, put(nil), out.Flush(), file.Chmod(0o644), sync(file), file.Close())
 	return file.Name(), err
 }
 
-func (j *Journal) syncFolder() error {
+func (j *Journal) syncFolder(sync func(*os.File) error) error {
 	folder, err := os.Open(j.folder)
 	if err != nil {
 		return err
 	}
 	defer folder.Close()
-	return j.sync(folder)
+	return sync(folder)
 }
 
 // removeOldFiles removes files of other generations, and temporary ones that a crash left. What can't be removed is
