Gatherer: without a state folder the main thread is not kept for signals

Change: a gatherer without a state folder writes nothing through to a disk, so that its main thread needs no keeping; it runs as before. One with a state folder keeps the lock. Result: tests of the command green under the race detector.

--- a/cmd/yokeroute/serve.go
+++ b/cmd/yokeroute/serve.go
@@ -80,6 +80,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("operator's file: %w", err)
 	}
+	if operatorFile.State == "" {
+		releaseMainThread()
+	}
 	log, err := newLogger(logOutput, o.logLevel)
 	if err != nil {
 		return nil, err
