--- a/internal/storage/statedir/gathererstate.go
+++ b/internal/storage/statedir/gathererstate.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -25,9 +26,13 @@
 	repairAt     float64 // when a journal that has failed may be replaced again
 }
 
-// repairInterval is between two tries to replace a journal that has failed, in milliseconds: each writes all there is.
+// repairInterval is between a failure of the journal and a try to replace it, in milliseconds, and between two tries: each
+// writes all there is.
 const repairInterval = 1000
 
+// errRepairLater is the error of records that come before a journal that has failed may be replaced.
+var errRepairLater = errors.New("journal: a write has failed, and it is not replaced yet")
+
 // claim is a query that may have run.
 type claim struct {
 	id     string
@@ -179,8 +184,23 @@
 // appendOrRepair stores records which the present state holds already. Where the journal has failed, as on a disk that
 // was full, a snapshot stores them in new files.
 func (g *GathererState) appendOrRepair(records [][]byte, now float64) error {
-	if g.journal == nil || len(records) == 0 || !g.journal.Failed() || now < g.repairAt {
-		return g.append(records)
+	if g.journal == nil || len(records) == 0 {
+		return nil
+	}
+	if g.journal.Failed() {
+		return g.repair(now)
+	}
+	err := g.append(records)
+	if g.journal.Failed() {
+		g.repairAt = now + repairInterval
+	}
+	return err
+}
+
+// repair replaces a journal that has failed, unless that was tried, or it failed, a moment ago.
+func (g *GathererState) repair(now float64) error {
+	if now < g.repairAt {
+		return errRepairLater
 	}
 	g.repairAt = now + repairInterval
 	return g.journal.Snapshot(g.writeAll)
