--- a/internal/gatherer/dispatch/nonidempotent.go
+++ b/internal/gatherer/dispatch/nonidempotent.go
@@ -36,6 +36,30 @@
 	return p.settings.Class(query.Class).Effect == gather.NonIdempotent
 }
 
+// needsRecord reports whether a query has to be recorded before the module may know of it. A policy may have its class
+// be non-idempotent.
+func (p *Picker) needsRecord(query *Query) bool {
+	if p.records == nil {
+		return false
+	}
+	settings := p.records.settings
+	if p.gate != nil {
+		_, settings = p.gate.Effective(p.Now())
+	}
+	return settings.Class(query.Class).Effect == gather.NonIdempotent
+}
+
+// rejectUnrecorded rejects a query whose class has become non-idempotent since it came, by a change of policy: it is not
+// recorded. It reports whether it did.
+func (p *Picker) rejectUnrecorded(query *Query) bool {
+	if p.records == nil || query.recorded || !p.nonIdempotent(query) {
+		return false
+	}
+	p.queries.finished = append(p.queries.finished, query)
+	p.deliver(query, Result{Kind: Rejected, RetryAfter: p.records.retryAfter[query.Class]})
+	return true
+}
+
 // pickRecorded picks a query whose ID has to be on the disk before any byte of it is sent. The module does not know of
 // the query until then, so that it takes no wait for the disk for load.
 func (p *Picker) pickRecorded(ctx context.Context, query *Query) Result {
@@ -54,6 +78,7 @@
 		return result
 	}
 	admitted = true
+	query.recorded = true
 	return p.pickAdmitted(ctx, query)
 }
 
--- a/internal/gatherer/dispatch/picker.go
+++ b/internal/gatherer/dispatch/picker.go
@@ -101,7 +101,7 @@
 	if !p.reserve(query) {
 		return Result{Kind: Rejected}
 	}
-	if p.records != nil && p.records.needed(query) {
+	if p.needsRecord(query) {
 		return p.pickRecorded(ctx, query)
 	}
 	return p.pickAdmitted(ctx, query)
--- a/internal/gatherer/dispatch/query.go
+++ b/internal/gatherer/dispatch/query.go
@@ -30,6 +30,7 @@
 	result     chan Result
 	admittedAt float64
 	generation uint64      // of the policy that it is decided by
+	recorded   bool        // in the store of non-idempotent queries
 	rejected   atomic.Bool // by the module: nothing of it has run
 	mayHaveRun atomic.Bool // a byte of one of its attempts may have been written
 
--- a/internal/gatherer/dispatch/recordqueue.go
+++ b/internal/gatherer/dispatch/recordqueue.go
@@ -55,13 +55,14 @@
 
 // recordQueue writes to the store on a goroutine of its own. What comes during a write shares the next one.
 type recordQueue struct {
-	store   NonIdempotentStore
-	log     *logrus.Logger
-	now     func() float64
-	maxSize int // of the queries that wait for a write or are being written
-	worker  *worker.Worker
-
-	// retryAfter has the non-idempotent classes, and when a client may come again whose query was not recorded.
+	store    NonIdempotentStore
+	settings *gather.Settings // the platform's
+	log      *logrus.Logger
+	now      func() float64
+	maxSize  int // of the queries that wait for a write or are being written
+	worker   *worker.Worker
+
+	// retryAfter is when a client may come again whose query was not recorded, by class.
 	retryAfter map[string]float64
 
 	mu      sync.Mutex
@@ -75,26 +76,18 @@
 func newRecordQueue(
 	store NonIdempotentStore, settings *gather.Settings, now func() float64, log *logrus.Logger,
 ) *recordQueue {
-	q := &recordQueue{store: store, retryAfter: map[string]float64{}, log: log, now: now, maxSize: maxWaitingSize}
+	q := &recordQueue{store: store, settings: settings, retryAfter: map[string]float64{}, log: log, now: now, maxSize: maxWaitingSize}
 	if settings.MaxOpenRequests > 0 {
 		q.maxSize = int(maxWaitingShare * float64(settings.MaxOpenRequests))
 	}
 	for i := range settings.Classes {
 		class := &settings.Classes[i]
-		if class.Effect == gather.NonIdempotent {
-			q.retryAfter[class.Name] = logic.LateRetryAfter(settings, class)
-		}
+		q.retryAfter[class.Name] = logic.LateRetryAfter(settings, class)
 	}
 	q.worker = worker.New(q.write)
 	return q
 }
 
-// needed reports whether a query has to be recorded before any byte of it is sent.
-func (q *recordQueue) needed(query *Query) bool {
-	_, nonIdempotent := q.retryAfter[query.Class]
-	return nonIdempotent
-}
-
 // request has a query recorded by the next write. Each request needs a release once it is known that nothing of the
 // query has run.
 func (q *recordQueue) request(query *Query) *record {
--- a/internal/gatherer/dispatch/twopass.go
+++ b/internal/gatherer/dispatch/twopass.go
@@ -138,6 +138,9 @@
 func (p *Picker) startQuery(in *gather.Round, query *Query, now float64) {
 	query.admittedAt = now
 	query.generation = p.policy.generation
+	if p.rejectUnrecorded(query) {
+		return
+	}
 	t := &p.twoPass
 	if t.decider == nil || p.ownership != nil || !t.decider.Enabled(query.Class) { // pieces go in one pass
 		p.observeAdmitted(query, nil, now)
