--- a/internal/gatherer/dispatch/nonidempotent.go
+++ b/internal/gatherer/dispatch/nonidempotent.go
@@ -49,8 +49,8 @@
 	return settings.Class(query.Class).Effect == gather.NonIdempotent
 }
 
-// rejectUnrecorded rejects a query whose class has become non-idempotent since it came, by a change of policy: it is not
-// recorded. It reports whether it did.
+// rejectUnrecorded rejects a query whose class has become non-idempotent since it came, by a change of policy: it is
+// not recorded. It reports whether it did.
 func (p *Picker) rejectUnrecorded(query *Query) bool {
 	if p.records == nil || query.recorded || !p.nonIdempotent(query) {
 		return false
--- a/internal/gatherer/dispatch/recordqueue.go
+++ b/internal/gatherer/dispatch/recordqueue.go
@@ -76,7 +76,14 @@
 func newRecordQueue(
 	store NonIdempotentStore, settings *gather.Settings, now func() float64, log *logrus.Logger,
 ) *recordQueue {
-	q := &recordQueue{store: store, settings: settings, retryAfter: map[string]float64{}, log: log, now: now, maxSize: maxWaitingSize}
+	q := &recordQueue{
+		store:      store,
+		settings:   settings,
+		log:        log,
+		now:        now,
+		maxSize:    maxWaitingSize,
+		retryAfter: map[string]float64{},
+	}
 	if settings.MaxOpenRequests > 0 {
 		q.maxSize = int(maxWaitingShare * float64(settings.MaxOpenRequests))
 	}
--- a/internal/storage/statedir/gathererstate.go
+++ b/internal/storage/statedir/gathererstate.go
@@ -26,8 +26,8 @@
 	repairAt     float64 // when a journal that has failed may be replaced again
 }
 
-// repairInterval is between a failure of the journal and a try to replace it, in milliseconds, and between two tries: each
-// writes all there is.
+// repairInterval is between a failure of the journal and a try to replace it, in milliseconds, and between two tries:
+// each writes all there is.
 const repairInterval = 1000
 
 // errRepairLater is the error of records that come before a journal that has failed may be replaced.
@@ -197,7 +197,7 @@
 	return err
 }
 
-// repair replaces a journal that has failed, unless that was tried, or it failed, a moment ago.
+// repair replaces a journal that has failed, no sooner than repairInterval after the failure or the last try.
 func (g *GathererState) repair(now float64) error {
 	if now < g.repairAt {
 		return errRepairLater
