Rule checker: each process tallies retries from its start, as the protocol says

Cause: the check of joined traces, not the gatherer. It counted all processes of a gatherer against one budget. The protocol's rule 6 says "Each instance tallies from its start", and an instance holds nothing from before it.

Evidence: a controlled order of events in place of luck: connections to shard servers are reset, the gatherer is killed 20 ms later and reset again as soon as it is back.

The check is replaced by the rule as written: a process' retries against the queries which it admitted itself. That allows a restart within the window, and finds what the old one passed over: retries by the predecessor's queries. What the fleet's retries come to is counted on through restarts and reported, as it was.

--- a/internal/rulecheck/join.go
+++ b/internal/rulecheck/join.go
@@ -54,7 +54,8 @@
 //
 //   - rule 2: that no non-idempotent operation ran twice, whichever gatherers its attempts went to.
 //   - rule 4: what all gatherers together sent a starting server, from the ground truth.
-//   - rule 6: a gatherer's retries across its restarts, and those of the whole fleet.
+//   - rule 6: the retries of the whole fleet, which are reported. The budget is that of a process, which tallies from
+//     its start.
 //
 // A truncated trace is that of a killed process: the queries that it held end with it. A trace that has no Unix time,
 // or other classes than the rest, is an error that names it.
