Testbed: a link that is cut keeps its port reserved, so that it can be mended

No process and no rule failed.

Cause: the rig. The link waited five seconds for the port in vain.

A link now holds its port by a bound socket that does not listen for as long as it lives: connections are refused while it is cut, as before, and sockets that ask for any port get another. TestCutLinkKeepsItsPort failed before, by the same error. Result: it and the other tests of links pass, three times each with the race detector.

--- a/internal/testbed/processtest/relay.go
+++ b/internal/testbed/processtest/relay.go
@@ -36,7 +36,7 @@
 
 	mu      sync.Mutex
 	l       net.Listener
-	address string // of its own
+	port    *reservedPort // where it listens, reserved while it is cut too
 	target  string
 	weather Weather
 	garble  [2]int // chunks of which a byte is still to be changed, by way
@@ -75,11 +75,15 @@
 // NewLink begins a link on a free port of a host, a loopback address, to a target; the seed is that of its jitter.
 func NewLink(from, to, host, target string, seed uint64) (*Link, error) {
 	k := &Link{From: from, To: to, target: target, changed: make(chan struct{}), conns: map[*relayed]bool{}, chance: pcg.New(seed)}
-	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	var err error
+	if k.port, err = reservePort(host); err != nil {
+		return nil, err
+	}
+	l, err := k.port.listen()
 	if err != nil {
+		k.port.release()
 		return nil, err
 	}
-	k.address = l.Addr().String()
 	k.serve(l)
 	return k, nil
 }
@@ -88,7 +92,7 @@
 func (k *Link) Name() string { return k.From + ":" + k.To }
 
 // Address is where the near side connects.
-func (k *Link) Address() string { return k.address }
+func (k *Link) Address() string { return k.port.address }
 
 func (k *Link) serve(l net.Listener) {
 	k.l = l
@@ -138,17 +142,12 @@
 		k.reset()
 		return nil
 	}
-	// Meanwhile a connection of somebody else's may have been given the port for its own end.
-	var l net.Listener
-	var err error
-	for range 100 {
-		if l, err = net.Listen("tcp", k.address); err == nil {
-			k.serve(l)
-			return nil
-		}
-		time.Sleep(50 * time.Millisecond)
+	l, err := k.port.listen()
+	if err != nil {
+		return fmt.Errorf("link %s: %w", k.Name(), err)
 	}
-	return fmt.Errorf("link %s: %w", k.Name(), err)
+	k.serve(l)
+	return nil
 }
 
 // Reset ends the connections that there are; new ones are taken.
@@ -189,6 +188,7 @@
 	k.news()
 	k.mu.Unlock()
 	k.wait.Wait()
+	k.port.release()
 }
 
 // state is the weather now, whether the link is there at all, and what tells of a change.
--- a/internal/testbed/processtest/relay_test.go
+++ b/internal/testbed/processtest/relay_test.go
@@ -291,3 +291,36 @@
 	}
 	return n
 }
+
+// TestCutLinkKeepsItsPort: while a link is cut, no socket of another process is given its port, so that it can be
+// mended; connections are refused meanwhile.
+func TestCutLinkKeepsItsPort(t *testing.T) {
+	target, _ := echo(t)
+	k, err := NewLink("a", "b", "127.0.0.1", target, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer k.Close()
+	if err := k.Cut(true); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := net.Dial("tcp", k.Address()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("%v, %v", c, err)
+	}
+	own, err := net.ResolveTCPAddr("tcp", k.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := net.Dialer{LocalAddr: own}
+	if c, err := other.Dial("tcp", target); !errors.Is(err, syscall.EADDRINUSE) {
+		t.Errorf("another socket is given the port: %v, %v", c, err)
+	}
+	if err := k.Cut(false); err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", k.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+}
