Dispatch: a record that was refused has failed, one outcome in place of two

Read again: whoever waits for a record never told a write that failed from a queue that is full; both reject the query with advice when to come again. No change of what is done.

--- a/internal/gatherer/dispatch/recordqueue.go
+++ b/internal/gatherer/dispatch/recordqueue.go
@@ -49,8 +49,7 @@
 const (
 	recordSucceeded  recordOutcome = iota
 	recordMayHaveRun               // an attempt of an earlier query of the ID may have run
-	recordFailed                   // nothing is stored
-	recordRefused                  // too many wait already
+	recordFailed                   // nothing is stored, or too many wait already
 )
 
 // recordQueue writes to the store on a goroutine of its own. What comes during a write shares the next one.
@@ -103,7 +102,7 @@
 	defer q.mu.Unlock()
 	if q.closed || q.size > 0 && q.size+r.size > q.maxSize {
 		r.state = recordEnded
-		r.outcome <- recordRefused
+		r.outcome <- recordFailed
 		return r
 	}
 	q.size += r.size
--- a/internal/testbed/processtest/reservedport.go
+++ b/internal/testbed/processtest/reservedport.go
@@ -9,8 +9,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// reservedPort is a port of a loopback address that the kernel gives to no other socket that asks for any port. A socket
-// is bound to it that does not listen: connections are refused unless something else listens there.
+// reservedPort is a port of a loopback address that the kernel gives to no other socket that asks for any port. A
+// socket is bound to it that does not listen: connections are refused unless something else listens there.
 type reservedPort struct {
 	socket  *os.File
 	address string
