Testbed: an address found for a process stays reserved until it listens there

Cause: the tests, not the product. Tests and the testbed looked for a free port by a listener that they closed again; until the process listened there, the kernel could give the port to any listener or connection that asks for any port, and the package's own stand-ins, probes and eleven processes ask for many. That it was this is read from the log; who had the port is not known. The order of events was made certain instead: with IP_LOCAL_PORT_RANGE a listener and a connection that may be given just this one port.

The reserved ports of links are a package of their own now, and serve all who need an address for later: the tests of the command, the policy server, discovery, the service and the testbed's gatherers. In discovery a test that skipped itself where its port had been taken can't be skipped any more.

--- a/cmd/yokeroute/crossings_test.go
+++ b/cmd/yokeroute/crossings_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"yokeroute/internal/testbed/processtest"
+	"yokeroute/internal/testbed/reservedport"
 	"yokeroute/internal/testbed/standin"
 )
 
@@ -110,7 +111,7 @@
 	shard := standin.NewShard(t)
 	agent, _ := startDiscovery(t, shard)
 	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP} {
-		address := freeAddress(t)
+		address := reservedport.ForTest(t)
 		text, err := os.ReadFile(writeConfig(t, address, agent))
 		if err != nil {
 			t.Fatal(err)
@@ -161,7 +162,7 @@
 	binary := build(t)
 	agent, _ := startDiscovery(t, standin.NewShard(t))
 	for range processes {
-		address := freeAddress(t)
+		address := reservedport.ForTest(t)
 		p := startProcess(t, binary, writeConfig(t, address, agent), address, 256)
 		waitFor(t, "ready", 10*time.Second, func() bool { return p.get("/-/ready") == 200 })
 		p.signal(t, syscall.SIGTERM)
@@ -189,7 +190,7 @@
 func TestRepeatedSignalsDoNotDisturbShutdown(t *testing.T) {
 	shard := standin.NewShard(t)
 	agent, _ := startDiscovery(t, shard)
-	address := freeAddress(t)
+	address := reservedport.ForTest(t)
 	p := startProcess(t, build(t), writeConfig(t, address, agent), address, 256)
 	waitFor(t, "ready", 10*time.Second, func() bool { return p.get("/-/ready") == 200 })
 	early, err := net.Dial("tcp", address) // says nothing yet
@@ -275,7 +276,7 @@
 	}
 	defer agent.Close()
 	go agent.Serve(l)
-	address := freeAddress(t)
+	address := reservedport.ForTest(t)
 	path := writeConfig(t, address, l.Addr().String())
 	text, _ := os.ReadFile(path)
 	text = bytes.Replace(text, []byte(`"seed"`), fmt.Appendf(nil, `"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"seed"`, memory, sockets), 1)
@@ -383,7 +384,7 @@
 	go agent.Serve(l)
 	var all []*program
 	for range many {
-		address := freeAddress(t)
+		address := reservedport.ForTest(t)
 		all = append(all, startProcess(t, build(t), writeConfig(t, address, l.Addr().String()), address, 256))
 	}
 	from := time.Now()
--- a/cmd/yokeroute/serve_test.go
+++ b/cmd/yokeroute/serve_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -14,6 +13,7 @@
 	"testing"
 	"time"
 
+	"yokeroute/internal/testbed/reservedport"
 	"yokeroute/internal/testbed/standin"
 	"yokeroute/internal/testbed/standin/discoveryserver"
 	"yokeroute/internal/testbed/standin/shardserver"
@@ -35,15 +35,6 @@
 	return strings.TrimPrefix(agent.URL, "http://"), watched
 }
 
-func freeAddress(t *testing.T) string {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer free.Close()
-	return free.Addr().String()
-}
-
 // startServe runs the command and waits until it is ready. Its log comes line by line.
 func startServe(t *testing.T, path, address string, more ...string) (ended chan error, log <-chan string) {
 	out, in := io.Pipe()
@@ -111,7 +102,7 @@
 // flight.
 func TestServeAnswersAndDrainsOnSIGTERM(t *testing.T) {
 	shard := standin.NewShard(t)
-	address := freeAddress(t)
+	address := reservedport.ForTest(t)
 	agent, _ := startDiscovery(t, shard)
 	ended, log := startServe(t, writeConfig(t, address, agent), address)
 	first := sendQuery(address, "a")
@@ -141,7 +132,7 @@
 // the endpoint list at its new place. A faulty file changes nothing, and the log names the faulty key.
 func TestSIGHUPReloadsAndFaultyFileChangesNothing(t *testing.T) {
 	before, after := standin.NewShard(t), standin.NewShard(t)
-	address := freeAddress(t)
+	address := reservedport.ForTest(t)
 	old, _ := startDiscovery(t, before)
 	path := writeConfig(t, address, old)
 	ended, log := startServe(t, path, address)
@@ -194,7 +185,7 @@
 		t.Fatal(err)
 	}
 	defer list.Close()
-	address := freeAddress(t)
+	address := reservedport.ForTest(t)
 	path := writeConfig(t, address, list.Address())
 	plan := filepath.Join(filepath.Dir(path), "plan.conf")
 	weigh := func(n, s string) {
--- a/cmd/yokeroute/twophase_test.go
+++ b/cmd/yokeroute/twophase_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"yokeroute/internal/testbed/reservedport"
 	"yokeroute/internal/testbed/standin/discoveryserver"
 	"yokeroute/internal/testbed/standin/shardserver"
 )
@@ -70,7 +71,7 @@
 		t.Fatal(err)
 	}
 	defer list.Close()
-	address := freeAddress(t)
+	address := reservedport.ForTest(t)
 	path := writeConfig(t, address, list.Address())
 	text, _ := os.ReadFile(path)
 	os.WriteFile(path, []byte(strings.Replace(string(text), `"cells":1,"inARow":1,"shards":4`, `"cells":2,"inARow":1,"shards":8`, 1)), 0o600)
--- a/internal/control/policyserver/shutdown_test.go
+++ b/internal/control/policyserver/shutdown_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -15,6 +14,7 @@
 	"yokeroute/internal/control/policyapi"
 	"yokeroute/internal/httpserver"
 	"yokeroute/internal/testbed/lateclient"
+	"yokeroute/internal/testbed/reservedport"
 	"yokeroute/logic/policy"
 )
 
@@ -37,14 +37,9 @@
 // TestServerEndsWhileSnapshotArrives guards against a policy server that does not end on SIGTERM, as a leader that
 // was cut off has sent it a part of a snapshot.
 func TestServerEndsWhileSnapshotArrives(t *testing.T) {
-	probe, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	c := singleServer(t)
 	c.Joins = true
-	c.RaftListen = probe.Addr().String()
-	probe.Close()
+	c.RaftListen = reservedport.ForTest(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	s, err := Open(ctx, c, quietLog())
 	if err != nil {
--- a/internal/gatherer/discovery/faults_test.go
+++ b/internal/gatherer/discovery/faults_test.go
@@ -19,6 +19,7 @@
 
 	"yokeroute/gather"
 	"yokeroute/internal/gatherer/shardcall"
+	"yokeroute/internal/testbed/reservedport"
 	"yokeroute/logic/backoff"
 )
 
@@ -258,12 +259,7 @@
 // TestUnreachableAgentIsPolledUntilItAnswers polls an address where nobody listens, then an agent that answers 503
 // for a while.
 func TestUnreachableAgentIsPolledUntilItAnswers(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := l.Addr().String()
-	l.Close()
+	address := reservedport.ForTest(t)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	lists := make(chan gather.EndpointList, 1000)
@@ -279,8 +275,9 @@
 			t.Errorf("notified of %+v", l)
 		}
 	}
-	if l, err = net.Listen("tcp", address); err != nil {
-		t.Skip("its port was taken meanwhile")
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
 	}
 	var calls atomic.Int32
 	agent := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/gatherer/service/service_test.go
+++ b/internal/gatherer/service/service_test.go
@@ -13,17 +13,13 @@
 
 	"yokeroute/internal/config/operator"
 	"yokeroute/internal/config/platform"
+	"yokeroute/internal/testbed/reservedport"
 )
 
 // TestNewUndoesWhatItBeganOnFailure: when a part can't be assembled, what the parts before it hold is given back: the
 // address of the reports can be listened on, and the folder of the state opened, again.
 func TestNewUndoesWhatItBeganOnFailure(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	listener.Close()
+	address := reservedport.ForTest(t)
 	c, err := platform.Parse([]byte(text("127.0.0.1:1", "127.0.0.1:1", settings)), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
@@ -41,7 +37,7 @@
 			t.Fatalf("%v", err)
 		}
 	}
-	listener, err = net.Listen("tcp", address)
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatalf("the address of reports is still taken: %v", err)
 	}
--- a/internal/testbed/experiment/gatherer.go
+++ b/internal/testbed/experiment/gatherer.go
@@ -6,13 +6,13 @@
 	"errors"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"time"
 
 	"yokeroute/internal/process"
+	"yokeroute/internal/testbed/reservedport"
 )
 
 // How long a gatherer may take to start and to shut down, and an answer to whether it is ready.
@@ -33,6 +33,7 @@
 type Gatherer struct {
 	*process.Process
 	Address string
+	port    *reservedport.Port
 	dir     string
 }
 
@@ -55,20 +56,22 @@
 
 // StartGatherer starts a gatherer and waits until it is ready.
 func StartGatherer(binary string, config GathererConfig) (*Gatherer, error) {
-	address, err := freeAddress()
+	port, err := reservedport.Reserve("127.0.0.1")
 	if err != nil {
 		return nil, err
 	}
 	dir, err := os.MkdirTemp("", "yokeroute-testbed")
 	if err != nil {
+		port.Release()
 		return nil, err
 	}
-	g := &Gatherer{Address: address, dir: dir}
+	g := &Gatherer{Address: port.Address(), port: port, dir: dir}
 	args, err := g.writeFiles(config)
 	if err == nil {
 		g.Process, err = process.Start(config.Name, binary, args, nil)
 	}
 	if err != nil {
+		port.Release()
 		return nil, errors.Join(err, os.RemoveAll(dir))
 	}
 	if err := g.awaitReady(config.Name); err != nil {
@@ -78,16 +81,6 @@
 	return g, nil
 }
 
-// freeAddress returns an address of loopback whose port is free.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // writeFiles writes a gatherer's files into its folder, and returns the arguments that name them.
 func (g *Gatherer) writeFiles(config GathererConfig) (args []string, err error) {
 	platform, err := platformConfig(config, g.Address)
@@ -163,5 +156,6 @@
 	if g.Terminate(ctx) != nil {
 		g.Kill()
 	}
+	g.port.Release()
 	_ = os.RemoveAll(g.dir) // a folder of temporary files that stays does no harm
 }
--- a/internal/testbed/processtest/losttry_test.go
+++ b/internal/testbed/processtest/losttry_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"yokeroute/internal/process"
+	"yokeroute/internal/testbed/reservedport"
 )
 
 // TestLostTryTellsOfSIGTERM guards against a lost try that says nothing of its gatherer's planned end, as
@@ -47,12 +48,7 @@
 // TestLostTryTellsOfRelay guards against resets that are taken for a gatherer's where the rig's relay has
 // made them, as its own connection was refused.
 func TestLostTryTellsOfRelay(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	closed.Close()
-	link, err := NewLink("front", "g1", "127.0.0.1", closed.Addr().String(), 1)
+	link, err := NewLink("front", "g1", "127.0.0.1", reservedport.ForTest(t), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/testbed/processtest/relay.go
+++ b/internal/testbed/processtest/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"yokeroute/internal/pcg"
+	"yokeroute/internal/testbed/reservedport"
 )
 
 // Way is a direction over a link: There from the side that connects, Back to it.
@@ -36,7 +37,7 @@
 
 	mu      sync.Mutex
 	l       net.Listener
-	port    *reservedPort // where it listens, reserved while it is cut too
+	port    *reservedport.Port // where it listens, reserved while it is cut too
 	target  string
 	weather Weather
 	garble  [2]int // chunks of which a byte is still to be changed, by way
@@ -76,12 +77,12 @@
 func NewLink(from, to, host, target string, seed uint64) (*Link, error) {
 	k := &Link{From: from, To: to, target: target, changed: make(chan struct{}), conns: map[*relayed]bool{}, chance: pcg.New(seed)}
 	var err error
-	if k.port, err = reservePort(host); err != nil {
+	if k.port, err = reservedport.Reserve(host); err != nil {
 		return nil, err
 	}
-	l, err := k.port.listen()
+	l, err := k.port.Listen()
 	if err != nil {
-		k.port.release()
+		k.port.Release()
 		return nil, err
 	}
 	k.serve(l)
@@ -92,7 +93,7 @@
 func (k *Link) Name() string { return k.From + ":" + k.To }
 
 // Address is where the near side connects.
-func (k *Link) Address() string { return k.port.address }
+func (k *Link) Address() string { return k.port.Address() }
 
 func (k *Link) serve(l net.Listener) {
 	k.l = l
@@ -142,7 +143,7 @@
 		k.reset()
 		return nil
 	}
-	l, err := k.port.listen()
+	l, err := k.port.Listen()
 	if err != nil {
 		return fmt.Errorf("link %s: %w", k.Name(), err)
 	}
@@ -188,7 +189,7 @@
 	k.news()
 	k.mu.Unlock()
 	k.wait.Wait()
-	k.port.release()
+	k.port.Release()
 }
 
 // state is the weather now, whether the link is there at all, and what tells of a change.
