Rollouts: the reason names gatherers that are not reached, in place of "the old do worse"

A stage in which more than a quarter of a zone's gatherers are not reached told operators that "the old do worse as well". The reason names the zone and how many are not reached; what is decided is as it was.

Test: one more case of TestDeciderTellsOperatorsWhy.

--- a/logic/rollout/compare.go
+++ b/logic/rollout/compare.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "math"
+import (
+	"fmt"
+	"math"
+)
 
 // Disturbances: the old of a zone do worse than at the baseline, or many of its gatherers are not reachable.
 // Nothing is held against the new meanwhile.
@@ -138,26 +141,38 @@
 	side.gauges[residentMemory] += s.Memory
 }
 
-// updateDisturbance finds the zones that are disturbed, and since when any is.
+// updateDisturbance finds the zones that are disturbed, and since when any is and by what.
 func (d *Decider) updateDisturbance(in *interval, now float64) {
-	disturbed := false
+	d.disturbance = ""
 	for z := range in.disturbed {
-		if d.isDisturbed(z, &in.oldSide[z]) || in.unreachable[z] > unreachableShare*in.gatherers[z] {
+		if found := d.disturbanceOf(z, in); found != "" {
 			d.disturbedUntil[z] = now + disturbanceHold
-			disturbed = true
+			d.disturbance = found
 		}
 		in.disturbed[z] = now < d.disturbedUntil[z]
 	}
 	switch {
-	case !disturbed:
+	case d.disturbance == "":
 		d.disturbedSince = 0
 	case d.disturbedSince == 0:
 		d.disturbedSince = now
 	}
 }
 
-// isDisturbed reports whether the old of a zone lose more value than they did.
-func (d *Decider) isDisturbed(zone int, olds *variantTally) bool {
+// disturbanceOf returns by what a zone is disturbed, empty where it is not.
+func (d *Decider) disturbanceOf(zone int, in *interval) string {
+	if d.losesMore(zone, &in.oldSide[zone]) {
+		return "the old do worse as well"
+	}
+	if in.unreachable[zone] > unreachableShare*in.gatherers[zone] {
+		return fmt.Sprintf("%.0f of %.0f gatherers of the zone %s are not reached",
+			in.unreachable[zone], in.gatherers[zone], d.zoneNames[zone])
+	}
+	return ""
+}
+
+// losesMore reports whether the old of a zone lose more value than they did.
+func (d *Decider) losesMore(zone int, olds *variantTally) bool {
 	for class := range olds.classes {
 		now, before := &olds.classes[class], &d.baseline.lossByZone[zone][class]
 		if now.total[lostValue] < minQueries || before.n < 2 {
--- a/logic/rollout/decider.go
+++ b/logic/rollout/decider.go
@@ -30,6 +30,7 @@
 	exits          exitEvidence
 	disturbedUntil []float64 // by zone
 	disturbedSince float64   // of any zone without a pause; 0 for none
+	disturbance    string    // of a zone in the last interval, for operators; empty for none
 
 	requested         []Variant // of the step in progress; Unknown for none
 	requestedAt       []float64
@@ -81,6 +82,7 @@
 	d.exits = exitEvidence{}
 	d.evaluatingSince = 0
 	d.disturbedSince = 0
+	d.disturbance = ""
 	d.stageStarted = false
 	clear(d.attempts)
 	clear(d.gaveUp)
@@ -291,8 +293,8 @@
 	if news == 0 || d.disturbedSince <= 0 || lasted <= d.plan.MaxDisturbance {
 		return ""
 	}
-	return fmt.Sprintf("stage %s: the old do worse as well since %.0f s ago, without an end; "+
-		"the new may be what harms them", d.stageName(), lasted/1000)
+	return fmt.Sprintf("stage %s: %s, since %.0f s ago without an end; "+
+		"the new may be what harms them", d.stageName(), d.disturbance, lasted/1000)
 }
 
 // endOverdueStage ends a stage that exceeded its limit. The last one is complete where all that is missing
--- a/logic/rollout/decider_test.go
+++ b/logic/rollout/decider_test.go
@@ -98,6 +98,14 @@
 			intervals: 90, phase: Evaluating,
 			reason: "nobody is blamed or passed meanwhile", news: 1,
 		},
+		"gatherers of a zone are away": {
+			before: func(f *fleet) {
+				f.restartMillis = 1e9
+				f.exits = func(g int) bool { return g < 6 && g%2 == 0 && f.variant[g] == Old && f.countNew() > 0 }
+			},
+			intervals: 90, phase: Evaluating,
+			reason: "gatherers of the zone a are not reached, since", news: 1,
+		},
 		"both suffer without an end": {
 			change: func(p *Plan) { p.MaxDisturbance = 60_000 },
 			before: func(f *fleet) {
--- a/logic/rollout/findings.go
+++ b/logic/rollout/findings.go
@@ -140,8 +140,8 @@
 		return fmt.Sprintf("all of it serve as new; watched for %.0f s more%s", left/1000, d.exits.describe())
 	}
 	if d.disturbedSince > 0 {
-		return fmt.Sprintf("the old do worse as well, since %.0f s ago: nobody is blamed or passed meanwhile",
-			(o.Now-d.disturbedSince)/1000)
+		return fmt.Sprintf("%s, since %.0f s ago: nobody is blamed or passed meanwhile",
+			d.disturbance, (o.Now-d.disturbedSince)/1000)
 	}
 	if olds, _ := o.countVariants(); olds == 0 { // nothing is left to compare with
 		return ""
