Storage: one log line for slow writes, in place of a threshold and a line twice

The record queue and the handover had the same threshold and log line each. Package slowwrite has both now; messages and fields are as before.

--- a/internal/gatherer/dispatch/recordqueue.go
+++ b/internal/gatherer/dispatch/recordqueue.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"yokeroute/gather"
+	"yokeroute/internal/storage/slowwrite"
 	"yokeroute/internal/worker"
 	"yokeroute/logic"
 	"yokeroute/logic/ownership"
@@ -19,9 +20,6 @@
 	// open requests. That of a platform is used up to maxWaitingShare, so that idempotent queries find room.
 	maxWaitingSize  = 1 << 16
 	maxWaitingShare = 0.25
-
-	// slowWriteThreshold is from which duration a write of the store is logged.
-	slowWriteThreshold = 100 * time.Millisecond
 )
 
 // recordState is how far the record of a query has come.
@@ -163,15 +161,12 @@
 			q.log.WithError(err).Error("segment map: not saved")
 		}
 	}
-	if took := time.Since(startedAt); took >= slowWriteThreshold {
-		log := q.log.WithFields(logrus.Fields{
-			"took":     took,
-			"queries":  len(records),
-			"released": len(notRun),
-			"map":      newest != nil,
-		})
-		log.Warn("store: slow write")
-	}
+	log := q.log.WithFields(logrus.Fields{
+		"queries":  len(records),
+		"released": len(notRun),
+		"map":      newest != nil,
+	})
+	slowwrite.Log(log, "store", startedAt)
 }
 
 // nextBatch empties the queue, but of several queries of one ID the first alone.
--- a/internal/gatherer/service/handover.go
+++ b/internal/gatherer/service/handover.go
@@ -10,13 +10,11 @@
 	"yokeroute/gather"
 	"yokeroute/internal/gatherer/discovery"
 	"yokeroute/internal/gatherer/shardcall"
+	"yokeroute/internal/storage/slowwrite"
 	"yokeroute/internal/storage/statedir"
 	"yokeroute/internal/worker"
 )
 
-// slowWriteThreshold is from which duration a write of the handover is logged.
-const slowWriteThreshold = 100 * time.Millisecond
-
 // handover keeps for the next process which servers drain. It writes on a goroutine of its own, so that the watch of
 // discovery does not wait for the disk.
 type handover struct {
@@ -91,9 +89,7 @@
 	h.mu.Unlock()
 	startedAt := time.Now()
 	err := h.write(draining)
-	if took := time.Since(startedAt); took >= slowWriteThreshold {
-		h.log.WithField("took", took).Warn("handover: slow write")
-	}
+	slowwrite.Log(h.log, "handover", startedAt)
 	if err != nil {
 		h.log.WithError(err).Error("handover: drains can't be stored")
 	}
