Rollouts: the reason counts processes of the new that ended, whenever they did

Its text said that the time runs from the last end, which is so only while the stage is watched. The tests of the decider and the kept outcomes pass.

--- a/logic/rollout/exits.go
+++ b/logic/rollout/exits.go
@@ -17,7 +17,7 @@
 	if !e.suspicious() {
 		return ""
 	}
-	return fmt.Sprintf(", from when a process last ended by itself: %d of the new have", e.ofNew)
+	return fmt.Sprintf(" (processes of the new that ended by themselves: %d)", e.ofNew)
 }
 
 // addExit adds the end of a process that no step has ended. While the new look worse by it, each end of theirs
