Stand-ins: a server that is killed keeps its port, so that it can come back

A shard server or segment host of the tests that is killed closed its listener, and listens at its old address when it comes back. They hold a reserved port until they are closed.

--- a/internal/testbed/standin/segmentserver/host.go
+++ b/internal/testbed/standin/segmentserver/host.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"yokeroute/internal/testbed/reservedport"
 	"yokeroute/internal/testbed/standin/shardserver"
 	"yokeroute/logic/ownership"
 )
@@ -20,10 +21,10 @@
 	WorkTime time.Duration // of a shard request
 
 	logs *SegmentLogs
+	port *reservedport.Port // its own while it is killed too
 
 	mu                    sync.Mutex
 	listener              net.Listener // nil while it is killed
-	address               string
 	conns                 map[net.Conn]bool
 	owned                 ownership.Host
 	draining              bool
@@ -38,26 +39,33 @@
 
 // NewHost starts a host that owns nothing.
 func NewHost(name string, logs *SegmentLogs, workTime time.Duration) (*Host, error) {
+	port, err := reservedport.Reserve("127.0.0.1")
+	if err != nil {
+		return nil, err
+	}
 	h := &Host{
 		Name:       name,
 		WorkTime:   workTime,
 		logs:       logs,
-		address:    "127.0.0.1:0",
+		port:       port,
 		seenClaims: map[uint64]string{},
 	}
-	return h, h.Restart()
+	if err := h.Restart(); err != nil {
+		port.Release()
+		return nil, err
+	}
+	return h, nil
 }
 
 // Restart starts a killed host at its old address. It believes that it owns what it owned before.
 func (h *Host) Restart() error {
-	l, err := net.Listen("tcp", h.Address())
+	l, err := h.port.Listen()
 	if err != nil {
 		return err
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.listener = l
-	h.address = l.Addr().String()
 	h.conns = map[net.Conn]bool{}
 	h.running.Go(func() { h.accept(l) })
 	return nil
@@ -90,11 +98,7 @@
 }
 
 // Address returns the address that it listens on.
-func (h *Host) Address() string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.address
-}
+func (h *Host) Address() string { return h.port.Address() }
 
 // Kill ends it: connections are reset, and what it works on is lost or runs without an answer.
 func (h *Host) Kill() {
@@ -116,6 +120,7 @@
 func (h *Host) Close() {
 	h.Kill()
 	h.running.Wait()
+	h.port.Release()
 }
 
 func (h *Host) update(change func()) {
--- a/internal/testbed/standin/shardserver/server.go
+++ b/internal/testbed/standin/shardserver/server.go
@@ -13,6 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"yokeroute/internal/pcg"
+	"yokeroute/internal/testbed/reservedport"
 )
 
 // Config describes a machine.
@@ -80,8 +81,8 @@
 	config          Config
 	answer          func(ShardRequest) []byte
 	summary         func(ShardRequest) []byte // the answer to a first pass
+	port            *reservedport.Port        // its own while it is killed too
 	listener        net.Listener              // nil while it is killed
-	address         string
 	random          *pcg.Source
 	conns           map[*conn]bool
 	queue           []*task
@@ -107,30 +108,37 @@
 	if answer == nil {
 		answer = func(r ShardRequest) []byte { return fmt.Appendf(nil, "%d:%s", r.Shard, r.Payload) }
 	}
+	port, err := reservedport.Reserve("127.0.0.1")
+	if err != nil {
+		return nil, err
+	}
 	s := &Server{
 		config:    config,
 		answer:    answer,
 		summary:   func(ShardRequest) []byte { return []byte("some 1 1 v0") },
-		address:   "127.0.0.1:0",
+		port:      port,
 		random:    pcg.New(config.Seed),
 		conns:     map[*conn]bool{},
 		slowdown:  1,
 		latencies: hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
 		byOrigin:  map[string]int{},
 	}
-	return s, s.Restart()
+	if err := s.Restart(); err != nil {
+		port.Release()
+		return nil, err
+	}
+	return s, nil
 }
 
 // Restart starts a killed machine at its old address.
 func (s *Server) Restart() error {
-	l, err := net.Listen("tcp", s.Address())
+	l, err := s.port.Listen()
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listener = l
-	s.address = l.Addr().String()
 	s.notify(eventStarted, ShardRequest{}, false, 0)
 	s.running.Go(func() { s.accept(l) })
 	return nil
@@ -165,11 +173,7 @@
 }
 
 // Address returns the address that it listens on.
-func (s *Server) Address() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.address
-}
+func (s *Server) Address() string { return s.port.Address() }
 
 // Kill ends it as a process that is killed: its connections are reset and its queue is lost.
 func (s *Server) Kill() {
@@ -195,6 +199,7 @@
 func (s *Server) Close() {
 	s.Kill()
 	s.running.Wait()
+	s.port.Release()
 }
 
 // OnEvent sets a callback for each arrival, execution and start, in their order. It must neither block nor call the
