Record's test: queries need the server that is in service again

Seen: TestCallsAreNotRecordedBeforeTheNewsThatAllowsThem failed once beside load of 12 on 8 cores: "nothing was sent to the server that is in service again".

Trace: three of 36 plays, twelve at once beside the same load. The news came and took effect in time (events and counts printed); the gatherer sent nothing to that server because its only answer until then, of the first second, had come late while the process waited for a processor (1.3 s of 4.8), and the other two of its replica set answered all 494 queries. In the same plays one or two servers that never drained had one request too. Nothing says that a server in service has to be sent to: the decisions prefer those that answer sooner.

Change: the whole replica set drains until that server is back, so that queries need it at once and every call of theirs is judged. The checks are as they were.

--- a/internal/gatherer/service/record_test.go
+++ b/internal/gatherer/service/record_test.go
@@ -54,7 +54,8 @@
 }
 
 // TestCallsAreNotRecordedBeforeTheNewsThatAllowsThem guards against a record that accuses a gatherer of calls to a
-// draining server, as it holds them before the news that the server is in service again.
+// draining server, as it holds them before the news that the server is in service again. All of its replica set drain
+// until then, so that queries need it at once.
 func TestCallsAreNotRecordedBeforeTheNewsThatAllowsThem(t *testing.T) {
 	const pause = 400 * time.Millisecond // more than the grace of a drain
 	file := filepath.Join(t.TempDir(), "day.trace")
@@ -74,7 +75,7 @@
 	played := make(chan *experiment.Outcome, 1)
 	go func() { played <- experiment.Play(t.Context(), load, 4*time.Second, 300*time.Millisecond) }()
 	time.Sleep(pause)
-	fleet.SetPhase("terminating", "m2")
+	fleet.SetPhase("terminating", "m0", "m2", "m4")
 	time.Sleep(2 * pause)
 	before := fleet.Servers["m2"].Counts().Requests
 	fleet.SetPhase("in_service", "m2")
