--- a/internal/testbed/emulator/clients.go
+++ b/internal/testbed/emulator/clients.go
@@ -353,7 +353,7 @@
 
 // again has a client come again, if it does. Only a nack says that asking again for a once-only lookup is harmless.
 func (w *World) again(k *ask, lk *lookup, wait float64, harmless bool) {
-	if k.ended || k.tried >= k.tries || !harmless && k.ix.Effect != "idempotent" {
+	if k.ended || k.tried >= k.tries || !harmless && k.ix.Effect != effectIdempotent {
 		w.settle(k)
 		return
 	}
