--- a/logic/rollout/exits.go
+++ b/logic/rollout/exits.go
@@ -20,9 +20,9 @@
 	return fmt.Sprintf(" (processes of the new that ended by themselves: %d)", e.ofNew)
 }
 
-// addExit adds the end of a process that no step has ended. While the new look worse by it, each end of theirs
-// starts the stage's observation anew: a program that ends again and again is not passed between two ends. By
-// chance this is rare, and costs a stage no more than its least observation.
+// addExit adds the end of a process that no step has ended. While the new look worse by it, each end of
+// theirs starts the stage's observation anew: a program that ends again and again is not passed between two
+// ends. By chance this is rare, and costs a stage no more than its least observation.
 func (d *Decider) addExit(o *Observation, ofNew bool) {
 	olds, news := o.countVariants()
 	d.exits.ratio.update(float64(news)/float64(max(news+olds, 1)), ofNew)
