Review: case 1 sends the id only while the request is open; case 3 on fewer cores

Cause: a usual client whose lookup was refused at once held no open request when the bad client sent its id; and case 3 took most of a minute on two cores, since the stand-ins made each request anew. Change: the bad client sends only while the first is unanswered; bad requests are made once, with bodies just under 64 KiB.

--- a/review/kit/case1.go
+++ b/review/kit/case1.go
@@ -11,9 +11,9 @@
 
 const (
 	case1Lookups  = 24
-	case1PartTime = 450 * time.Millisecond // a part waits and works that long at its shard server: a busy hour
+	case1PartTime = 330 * time.Millisecond // a part waits and works that long at its shard server: a busy hour
 	case1BadAt    = 100 * time.Millisecond // after the usual client's request
-	case1Patience = 300 * time.Millisecond // of the usual client, which then closes its connection
+	case1Patience = 250 * time.Millisecond // of the usual client, which then closes its connection
 )
 
 // idOfAnOpenRequest has usual clients send build-claim lookups and give up early. A bad client sends a request with the
@@ -49,21 +49,32 @@
 		patient := &Query{ID: w.RequestID(), Class: "build-claim", Tenant: "mainline", TimeoutMS: 3000,
 			Text: fmt.Sprintf("d52f%04x", i), Parts: EvenParts((shard + 1) % shards)}
 		all.Go(func() { w.CheckValues(usual.Send(patient, time.Second)) })
+		answered := make(chan struct{})
 		all.Go(func() {
 			conn, err := net.DialTimeout("tcp", g.Address, time.Second)
 			if err != nil {
 				w.Rec.Cannot("a client: %v", err)
 				return
 			}
+			defer conn.Close()
 			w.Rec.Add("request   %s /build-claim from a usual client", lookup.ID)
 			conn.Write(lookup.Bytes())
-			time.Sleep(case1Patience)
+			conn.SetReadDeadline(time.Now().Add(case1Patience))
+			answer := make([]byte, 512)
+			if n, err := conn.Read(answer); err == nil {
+				close(answered)
+				w.Rec.Add("response  %s %.12s", lookup.ID, answer[:n])
+				return
+			}
 			w.Rec.Add("client    the usual client of %s gives up and closes its connection", lookup.ID)
-			conn.Close()
 		})
 		if w.Trouble {
 			all.Go(func() {
-				time.Sleep(case1BadAt)
+				select {
+				case <-answered: // the id is not of an open request any more
+					return
+				case <-time.After(case1BadAt):
+				}
 				copied := *lookup
 				copied.Text = fmt.Sprintf("bad0%04x", i)
 				w.Rec.Add("client    a bad client sends a request with the id %s, which is open", copied.ID)
--- a/review/kit/case3.go
+++ b/review/kit/case3.go
@@ -14,10 +14,10 @@
 
 const (
 	case3BadClients = 300
-	case3BodyBytes  = 60000 // under the protocol's 64 KiB
-	case3HeadBytes  = 14000
+	case3TextBytes  = 64500 // with the rest, the body is under the protocol's 64 KiB
+	case3HeadBytes  = 15000
 	case3Quiet      = 5 * time.Second
-	case3Flood      = 60 * time.Second
+	case3Flood      = 80 * time.Second
 )
 
 // memory has hundreds of bad clients send requests at once, every other one without its last byte. The platform kills
@@ -89,6 +89,16 @@
 	all.Wait()
 }
 
+// badRequest is a bad client's request, with room for its id.
+var badRequest = func() []byte {
+	q := &Query{ID: badID, Class: "file-search", Tenant: "edge", TimeoutMS: 3000,
+		Text: strings.Repeat("q", case3TextBytes), Parts: EvenParts(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)}
+	return bytes.Replace(q.Bytes(), []byte("Content-Type"),
+		[]byte("X-Note: "+strings.Repeat("n", case3HeadBytes)+"\r\nContent-Type"), 1)
+}()
+
+const badID = "bad0000000000000"
+
 // badClient sends requests on one connection until it ends: whole ones, or ones without their last byte.
 func badClient(address string, sent *atomic.Int64, unfinished bool, over func() bool) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
@@ -97,15 +107,14 @@
 		return
 	}
 	defer conn.Close()
+	request := bytes.Clone(badRequest)
+	id := bytes.Index(request, []byte(badID))
+	if unfinished {
+		request = request[:len(request)-1]
+	}
 	answer := make([]byte, 4096)
 	for !over() {
-		q := &Query{ID: fmt.Sprintf("%016x", sent.Add(1)), Class: "file-search", Tenant: "edge", TimeoutMS: 3000,
-			Text: strings.Repeat("q", case3BodyBytes), Parts: EvenParts(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)}
-		request := bytes.Replace(q.Bytes(), []byte("Content-Type"),
-			[]byte("X-Note: "+strings.Repeat("n", case3HeadBytes)+"\r\nContent-Type"), 1)
-		if unfinished {
-			request = request[:len(request)-1]
-		}
+		copy(request[id:], fmt.Sprintf("bad%013x", sent.Add(1)))
 		conn.SetDeadline(time.Now().Add(5 * time.Second))
 		if _, err := conn.Write(request); err != nil {
 			return
