--- a/review/kit/case3.go
+++ b/review/kit/case3.go
@@ -13,14 +13,14 @@
 func init() { cases["memory"] = memory }
 
 const (
-	case3BadClients = 300
+	case3BadClients = 400
 	case3TextBytes  = 64500 // with the rest, the body is under the protocol's 64 KiB
 	case3HeadBytes  = 15000
 	case3Quiet      = 5 * time.Second
 	case3Flood      = 80 * time.Second
 )
 
-// memory has hundreds of bad clients send requests at once, every other one without its last byte. The platform kills
+// memory has hundreds of bad clients send requests at once, three of four without the last byte. The platform kills
 // the gatherer when its memory passes the limit that the configuration tells.
 func memory(w *World) {
 	if !w.StartFleet(func(p *Part) { p.Serve(60 * time.Millisecond) }) {
@@ -78,7 +78,7 @@
 		for k := range case3BadClients {
 			all.Go(func() {
 				for !over() {
-					badClient(g.Address, &sent, k%2 == 0, over)
+					badClient(g.Address, &sent, k%4 != 0, over)
 				}
 			})
 		}
