--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"math/rand"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -58,6 +60,14 @@
 		w.end()
 		os.Exit(rec.Close())
 	})
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-ended
+		rec.Cannot("it was ended by a signal")
+		w.end()
+		os.Exit(rec.Close())
+	}()
 	run(w)
 	timer.Stop()
 	w.end()
