Front end: reject a request with the ID of another client's query at once

Callers saw: a client closed its connection during a non-idempotent query.

Cause: activeQueries.acquire took the second request for the first client's repeat once that client had gone. Repeats have new IDs, and a request that crossed the close of an idle connection was never read and holds no ID.

Change: 409 at once. The ID stays reserved after the end of its query if an attempt was cancelled or timed out, since its answer names the ID alone, or if the query is not idempotent and may have run.

The load generator used IDs again between two loads, against the protocol; it draws new ones.

--- a/internal/gatherer/dispatch/attempt.go
+++ b/internal/gatherer/dispatch/attempt.go
@@ -121,6 +121,7 @@
 	}
 	a.writeStarted.Store(true)
 	query.mayHaveRun.Store(true)
+	query.conflictingAttempts.Add(1)
 	for _, o := range a.picker.observers.wire {
 		o.AttemptWritten(a, now)
 	}
@@ -151,6 +152,9 @@
 		return
 	}
 	a.neverExecuted.Store(outcome.NeverExecuted())
+	if a.writeStarted.Load() && !a.conflictsAfter(outcome) {
+		a.query.root().conflictingAttempts.Add(-1)
+	}
 	end := attemptEnd{attempt: a, outcome: outcome, latency: p.Now() - a.decidedAt, value: value}
 	if a.FirstPass() && outcome == gather.Succeeded {
 		var err error
@@ -176,6 +180,16 @@
 	})
 }
 
+// conflictsAfter reports whether the attempt, ended with an outcome, forbids another query with the same ID. A cancelled
+// attempt or one that timed out may still be answered, and the answer names nothing but the ID.
+func (a *Attempt) conflictsAfter(outcome gather.Outcome) bool {
+	switch outcome {
+	case gather.Succeeded, gather.Failed, gather.ConnectionReset:
+		return a.nonIdempotent || a.idempotencyWindow > 0
+	}
+	return !outcome.NeverExecuted()
+}
+
 // recordDecided notifies the two-pass decider and the observers of an attempt that the module has decided on.
 func (p *Picker) recordDecided(a *Attempt) {
 	if p.twoPass.decider != nil {
--- a/internal/gatherer/dispatch/attempt_test.go
+++ b/internal/gatherer/dispatch/attempt_test.go
@@ -93,3 +93,40 @@
 		}
 	}
 }
+
+// TestIDIsReusableOnlyIfNoAttemptConflicts guards against a second query with the ID of one whose attempt may run again
+// under it or be answered in its place. For each outcome of the only attempt it checks whether the ID is reusable, for
+// queries of each effect kind. While the attempt is in flight, no ID is.
+func TestIDIsReusableOnlyIfNoAttemptConflicts(t *testing.T) {
+	reusableIfIdempotent := map[gather.Outcome]bool{
+		gather.Rejected: true, gather.ConnectFailed: true, gather.NotSent: true, gather.NotOwner: true,
+		gather.Succeeded: true, gather.Failed: true, gather.ConnectionReset: true,
+	}
+	for _, effect := range []gather.Effect{gather.Idempotent, gather.IdempotencyKeyed, gather.NonIdempotent} {
+		for outcome := gather.Succeeded; outcome <= gather.NotOwner; outcome++ {
+			now := 1000.0
+			p := newPicker(t, func(s *gather.Settings) {
+				s.FindClass("all").Effect = effect
+				s.FindClass("all").IdempotencyWindow = 100.0
+			})
+			p.clock.override = func() float64 { return now }
+			p.RunRoundNow()
+			query := newQuery("all", 1, now+1000)
+			p.Submit(query)
+			now += 5
+			attempts := p.RunRoundNow().Send
+			if len(attempts) != 1 || !query.IDReusable() {
+				t.Fatalf("%d attempts, reusable %v, want 1 and, before its first byte, true", len(attempts), query.IDReusable())
+			}
+			if !attempts[0].BeginWrite() || query.IDReusable() {
+				t.Fatalf("effect %v: the ID is reusable while the attempt is in flight", effect)
+			}
+			attempts[0].EndWrite()
+			p.Report(attempts[0], outcome, []byte("value"))
+			want := outcome.NeverExecuted() || effect == gather.Idempotent && reusableIfIdempotent[outcome]
+			if got := query.IDReusable(); got != want {
+				t.Errorf("effect %v, outcome %v: reusable %v, want %v", effect, outcome, got, want)
+			}
+		}
+	}
+}
--- a/internal/gatherer/dispatch/query.go
+++ b/internal/gatherer/dispatch/query.go
@@ -34,6 +34,9 @@
 	rejected   atomic.Bool // true if the result is Rejected: no attempt has run
 	mayHaveRun atomic.Bool // true once a byte of an attempt may have been written
 
+	// conflictingAttempts counts the written attempts that forbid another query with the same ID.
+	conflictingAttempts atomic.Int64
+
 	// writeGate is read-locked while an attempt is written, so that no byte of an attempt is written after the result.
 	writeGate sync.RWMutex
 	sealed    bool
@@ -78,6 +81,10 @@
 // AdmittedAt returns the time of the round that admitted the query, on the picker's clock, or 0 before that round.
 func (q *Query) AdmittedAt() float64 { return q.admittedAt }
 
+// IDReusable reports whether another query may have the same ID without harm: no attempt of this one can still be
+// answered and, if the query is non-idempotent, none can have run. Once Pick has returned it does not become false again.
+func (q *Query) IDReusable() bool { return q.conflictingAttempts.Load() == 0 }
+
 // Result returns the final result if it is decided. It is for callers that step the picker; others block in Pick.
 func (q *Query) Result() (Result, bool) {
 	select {
--- a/internal/gatherer/frontend/handler.go
+++ b/internal/gatherer/frontend/handler.go
@@ -130,11 +130,10 @@
 		conn.watchClient(cancel)
 		defer conn.stopWatching()
 	}
-	active, err := s.active.acquire(ctx, query.ID)
-	if err != nil {
+	if err := s.active.acquire(query.ID); err != nil {
 		return dispatch.Result{}, err
 	}
-	defer s.active.release(query.ID, active)
+	defer func() { s.active.release(query.ID, query.IDReusable()) }()
 	if ctx.Err() != nil {
 		return dispatch.Result{Kind: dispatch.Abandoned}, nil
 	}
--- a/internal/gatherer/frontend/server.go
+++ b/internal/gatherer/frontend/server.go
@@ -95,7 +95,7 @@
 		errorLog:  c.Log.WriterLevel(logrus.WarnLevel),
 		conns:     newConnTracker(c.MaxConns, c.MaxUsedConns),
 		admin:     map[string]http.Handler{},
-		active:    activeQueries{byID: map[string]*activeQuery{}},
+		active:    newActiveQueries(),
 		serveDone: make(chan struct{}),
 
 		handshakeTimeout: handshakeTimeout,
--- a/internal/testbed/experiment/load.go
+++ b/internal/testbed/experiment/load.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -45,6 +46,7 @@
 	}}
 	defer client.CloseIdleConnections()
 	random := pcg.New(load.Seed)
+	idPrefix := fmt.Sprintf("%s-%x", load.Origin, rand.Uint64()) // new at each call, so that no ID is used twice
 	var mu sync.Mutex
 	var queries sync.WaitGroup
 	start := time.Now()
@@ -60,7 +62,7 @@
 		outcome.Sent++
 		queries.Go(func() {
 			sentAt := time.Now()
-			status, complete := load.send(ctx, client, n, first)
+			status, complete := load.send(ctx, client, fmt.Sprintf("%s-%d", idPrefix, n), n, first)
 			latency := time.Since(sentAt)
 			mu.Lock()
 			defer mu.Unlock()
@@ -105,7 +107,9 @@
 const queryMultiplier = 0x9e3779b97f4a7c15
 
 // send sends the n-th query. The status is 0 without an answer.
-func (l *Load) send(ctx context.Context, client *http.Client, n, first int) (status int, complete bool) {
+func (l *Load) send(
+	ctx context.Context, client *http.Client, id string, n, first int,
+) (status int, complete bool) {
 	query := n
 	if l.Queries > 0 {
 		query = int(uint64(n) * queryMultiplier >> 33 % uint64(l.Queries))
@@ -116,7 +120,7 @@
 	if err != nil {
 		return 0, false
 	}
-	req.Header.Set("X-Request-ID", fmt.Sprintf("%s-%x-%d", l.Origin, l.Seed, n))
+	req.Header.Set("X-Request-ID", id)
 	req.Header.Set("X-Timeout-Ms", fmt.Sprint(l.Deadline.Milliseconds()))
 	resp, err := client.Do(req)
 	if err != nil {
