--- a/internal/gatherer/frontend/clientconn.go
+++ b/internal/gatherer/frontend/clientconn.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"yokeroute/internal/socket"
 )
 
 // clientConn is a client's connection. It sits between net/http and the socket to handle cases that net/http does not:
@@ -169,7 +171,7 @@
 // read. It reports whether it did. A request that arrives afterwards is not read, and its client retries it elsewhere.
 func (c *clientConn) closeIfIdle() bool {
 	c.mu.Lock()
-	idle := !c.serving && c.arrivingSince.IsZero() && len(c.ahead.buffered) == 0 && !hasUnreadBytes(c.TCPConn)
+	idle := !c.serving && c.arrivingSince.IsZero() && len(c.ahead.buffered) == 0 && !socket.HasUnreadBytes(c.TCPConn)
 	return c.unlockAndCloseIf(idle)
 }
 
--- a/internal/gatherer/frontend/clientconn_test.go
+++ b/internal/gatherer/frontend/clientconn_test.go
@@ -7,6 +7,8 @@
 	"runtime"
 	"strings"
 	"testing"
+
+	"yokeroute/internal/socket"
 )
 
 // TestConnectionIsEitherClosedOrServed checks that a connection is not closed as idle while a request is served, unread
@@ -18,7 +20,7 @@
 	}
 	conn.markIdle()
 	io.WriteString(client, "P")
-	waitUntil(t, "a byte is unread", func() bool { return hasUnreadBytes(conn.TCPConn) })
+	waitUntil(t, "a byte is unread", func() bool { return socket.HasUnreadBytes(conn.TCPConn) })
 	if conn.closeIfIdle() {
 		t.Error("closed with an unread byte")
 	}
@@ -79,7 +81,7 @@
 func TestCloseOverUnreadBytesKeepsResponse(t *testing.T) {
 	conn, client := connPair(t)
 	io.WriteString(client, "more")
-	waitUntil(t, "bytes are unread", func() bool { return hasUnreadBytes(conn.TCPConn) })
+	waitUntil(t, "bytes are unread", func() bool { return socket.HasUnreadBytes(conn.TCPConn) })
 	io.WriteString(conn, "answer")
 	conn.Close()
 	if got, err := io.ReadAll(client); string(got) != "answer" || err != nil {
--- a/internal/gatherer/frontend/conntracker.go
+++ b/internal/gatherer/frontend/conntracker.go
@@ -5,8 +5,9 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
+
+	"yokeroute/internal/socket"
 )
 
 const (
@@ -221,7 +222,7 @@
 			return false
 		}
 	} else {
-		if hasUnreadBytes(conn) {
+		if socket.HasUnreadBytes(conn) {
 			return false
 		}
 		conn.Close()
@@ -244,20 +245,3 @@
 	defer c.mu.Unlock()
 	return c.active.Len() > c.maxOpen
 }
-
-// hasUnreadBytes reports whether the socket of a connection has unread bytes, without consuming them.
-func hasUnreadBytes(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	err = raw.Control(func(fd uintptr) {
-		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err == nil && n > 0
-}
--- a/internal/gatherer/frontend/conntracker_test.go
+++ b/internal/gatherer/frontend/conntracker_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"yokeroute/internal/gatherer/dispatch"
+	"yokeroute/internal/socket"
 )
 
 // TestSilentConnectionIsClosedFirstBeyondLimit checks the order in which connections are closed beyond the limit: first
@@ -33,7 +34,7 @@
 		}
 		t.Cleanup(func() { client.Close(); server.Close() })
 		io.WriteString(client, text)
-		for text != "" && !hasUnreadBytes(server) {
+		for text != "" && !socket.HasUnreadBytes(server) {
 			time.Sleep(time.Millisecond)
 		}
 		return server, client
