Front end: what clients may hold follows from the memory limit

Cause: connections closed at the limit were no longer counted while their goroutines and descriptors stayed, and clients connected again at once (3,298 goroutines for 223 connections). And connections were bounded by descriptors alone, whatever each held.

Change: accepted connections count until their goroutines end, and Accept waits at the limit. Connections, large heads, bodies and responses, and parsing have shares of the configured memory; a large request beyond them gets 503 and a close. Bodies are read as they arrive, frames do not copy large texts, heads have 100 lines at most, bodies of empty elements are not parsed. A request counts as read as soon as its body is; what is closed at the limit with a request gets 503.

--- a/internal/gatherer/dispatch/query.go
+++ b/internal/gatherer/dispatch/query.go
@@ -71,6 +71,14 @@
 	RetryAfter  float64 // advice for a rejected query in milliseconds, 0 for none
 }
 
+// ValueBytes returns the size of all values.
+func (r *Result) ValueBytes() (size int) {
+	for i := range r.Hits {
+		size += len(r.Hits[i].Value)
+	}
+	return size
+}
+
 // Hit is a value received from a shard server.
 type Hit struct {
 	Shard int
--- a/internal/gatherer/frontend/clientconn.go
+++ b/internal/gatherer/frontend/clientconn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -25,7 +26,7 @@
 //     the client has read the last response (Close).
 type clientConn struct {
 	*net.TCPConn
-	lingering *lingeringConns // nil in tests
+	tracker *connTracker // nil in tests
 
 	conflictingLengths atomic.Bool // never reset: no later request on the connection may be served
 
@@ -37,9 +38,12 @@
 	arrivingSince  time.Time
 	closedByServer bool          // bytes that arrive from now on are not read as a request
 	lingerFor      time.Duration // how long Close lets the connection linger; 0 after the first call of Close
+	users          int           // net/http until it has ended the connection, and the goroutine that lets it linger
 	ahead          readAhead
 
-	scanner headerScanner // not guarded by mu: net/http reads from one goroutine at a time
+	// Not guarded by mu: net/http reads from one goroutine at a time, and not while it changes the connection's state.
+	scanner headerScanner
+	head    reservation // for a large head
 }
 
 type connContextKey struct{}
@@ -65,11 +69,20 @@
 	c.mu.Unlock()
 	if n > 0 {
 		c.scan(p[:n])
+		if err := c.admitHead(); err != nil {
+			return 0, err
+		}
 		return n, nil
 	}
 	n, err := c.receive(p)
 	c.scan(p[:n])
-	return n, err
+	if err == nil {
+		err = c.admitHead()
+	}
+	if err != nil {
+		return 0, err
+	}
+	return n, nil
 }
 
 func (c *clientConn) scan(p []byte) {
@@ -165,8 +178,13 @@
 	c.serving = false
 	c.requestRead = false
 	c.ahead.byteConsumed = false
+	c.scanner.startHead()
+	c.head.shrink(0)
 }
 
+// endRequests releases what is reserved for requests, once net/http has ended the connection.
+func (c *clientConn) endRequests() { c.head.shrink(0) }
+
 // closeIfIdle closes the connection if no request is being served on it and no byte of one has been read or waits to be
 // read. It reports whether it did. A request that arrives afterwards is not read, and its client retries it elsewhere.
 func (c *clientConn) closeIfIdle() bool {
@@ -175,14 +193,24 @@
 	return c.unlockAndCloseIf(idle)
 }
 
-// closeIfSlow closes the connection if an incomplete request, which is not being decided yet, has been arriving on it
-// since before cutoff. It reports whether it did.
+// closeIfSlow closes the connection with 503 if an incomplete request, which is not being decided yet, has been arriving
+// on it since before cutoff. It reports whether it did. The last bytes of the request may have arrived unnoticed, so that
+// its client needs an answer.
 func (c *clientConn) closeIfSlow(cutoff time.Time) bool {
 	c.mu.Lock()
 	slow := !c.requestRead && !c.arrivingSince.IsZero() && c.arrivingSince.Before(cutoff)
+	if slow {
+		c.respondUnread(http.StatusServiceUnavailable)
+	}
 	return c.unlockAndCloseIf(slow)
 }
 
+// closeNew closes a new connection with 503. Its client may have sent a request already.
+func (c *clientConn) closeNew() {
+	c.respondUnread(http.StatusServiceUnavailable)
+	_ = c.Close()
+}
+
 func (c *clientConn) unlockAndCloseIf(closing bool) bool {
 	c.closedByServer = c.closedByServer || closing
 	c.mu.Unlock()
@@ -207,11 +235,27 @@
 		return c.TCPConn.Close()
 	}
 	_ = c.SetReadDeadline(longAgo) // interrupts a pending read
-	c.lingering.add(c)
+	c.mu.Lock()
+	c.users++
+	c.mu.Unlock()
+	if c.tracker != nil {
+		c.tracker.lingering.add(c)
+	}
 	go c.discardUntilClosed(wait)
 	return nil
 }
 
+// release ends the use of the connection by one of its users. After the last one it no longer counts as held.
+func (c *clientConn) release() {
+	c.mu.Lock()
+	c.users--
+	last := c.users == 0
+	c.mu.Unlock()
+	if last && c.tracker != nil {
+		c.tracker.release()
+	}
+}
+
 // discardUntilClosed reads and discards what the client still sends, for at most wait, then releases the descriptor.
 // lingeringConns.released waits until it returns.
 func (c *clientConn) discardUntilClosed(wait time.Duration) {
@@ -223,7 +267,10 @@
 		}
 	}
 	_ = c.TCPConn.Close()
-	c.lingering.remove(c)
+	if c.tracker != nil {
+		c.tracker.lingering.remove(c)
+	}
+	c.release()
 }
 
 const discardBufferBytes = 4 << 10
--- a/internal/gatherer/frontend/conntracker.go
+++ b/internal/gatherer/frontend/conntracker.go
@@ -20,10 +20,23 @@
 	newConnGrace = firstByteTimeout / 10
 
 	// headroomDivisor is the number by which the limit is divided to get the number of connections that are tolerated
-	// beyond it. As many may linger.
+	// beyond it. As many may linger, and as many may be closed and still in use by their goroutines.
 	headroomDivisor = 8
 )
 
+// HeldConns returns how many connections a server may hold at once, including those that are being closed, if at most
+// maxConns of them may carry a request. Each takes a descriptor.
+func HeldConns(maxConns int) int { return maxConns + 3*(maxConns/headroomDivisor+1) }
+
+// MaxConnsWithin returns the largest limit on connections that may carry a request with which at most held are held.
+func MaxConnsWithin(held int) int {
+	maxConns := held * headroomDivisor / (headroomDivisor + 3)
+	for maxConns > 1 && HeldConns(maxConns) > held {
+		maxConns--
+	}
+	return max(maxConns, 1)
+}
+
 // connTracker limits the clients' connections, so that descriptors remain for shard servers and for the next client.
 //
 // Beyond the limit it closes one connection on which no request is being served, in this order of preference: one that
@@ -35,6 +48,9 @@
 	maxUsed   int // connections that have carried a request, active or idle
 	hardLimit int // all open connections; beyond it a new one is closed at once, so that descriptors do not run out
 
+	held int        // connections that are open, or closed and still in use by a goroutine
+	room *sync.Cond // signalled when held falls; uses mu
+
 	mu           sync.Mutex
 	shuttingDown bool          // each connection is closed when it becomes idle
 	allClosed    chan struct{} // closed once no connection is open; nil before the shutdown
@@ -56,22 +72,66 @@
 }
 
 func newConnTracker(maxOpen, maxUsed int) *connTracker {
-	headroom := maxOpen/headroomDivisor + 1
-	return &connTracker{
-		maxOpen:   maxOpen,
+	c := &connTracker{
 		maxUsed:   maxUsed,
-		hardLimit: maxOpen + headroom,
 		unused:    list.New(),
 		idle:      list.New(),
 		active:    list.New(),
 		entries:   map[net.Conn]listEntry{},
 		uncounted: map[net.Conn]bool{},
-		lingering: lingeringConns{limit: headroom},
 	}
+	c.room = sync.NewCond(&c.mu)
+	c.setMaxOpen(maxOpen)
+	return c
+}
+
+// setMaxOpen sets the limits that follow from the number of connections on which a request may arrive. Connections
+// beyond a smaller limit are closed as others come.
+func (c *connTracker) setMaxOpen(maxOpen int) {
+	headroom := maxOpen/headroomDivisor + 1
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxOpen = maxOpen
+	c.hardLimit = maxOpen + headroom
+	c.lingering.setLimit(headroom)
+	c.room.Broadcast()
+}
+
+// awaitRoom waits until another connection may be held. Connections are closed at the limit, but their goroutines end
+// only when they run: clients that connect again at once would otherwise make them pile up.
+func (c *connTracker) awaitRoom() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.held >= HeldConns(c.maxOpen) {
+		c.room.Wait()
+	}
+}
+
+// hold counts an accepted connection as held, until release is called.
+func (c *connTracker) hold() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held++
+}
+
+func (c *connTracker) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held--
+	c.room.Signal()
 }
 
 // onStateChange is the http.Server's ConnState hook.
 func (c *connTracker) onStateChange(conn net.Conn, state http.ConnState) {
+	c.recordState(conn, state)
+	if cc, ok := conn.(*clientConn); ok && (state == http.StateClosed || state == http.StateHijacked) {
+		cc.endRequests()
+		cc.release()
+	}
+}
+
+// recordState moves a connection to the list of its state, and closes connections beyond the limits.
+func (c *connTracker) recordState(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.removeEntry(conn)
@@ -140,7 +200,11 @@
 	case c.closeOldest(c.unused, now): // a client that has a request sends it at once and in one piece
 	case c.closeSlow(now):
 	case state == http.StateNew: // closed even if it has an unread request
-		changed.Close()
+		if cc, ok := changed.(*clientConn); ok {
+			cc.closeNew()
+		} else {
+			changed.Close()
+		}
 		c.uncount(changed)
 	}
 }
--- a/internal/gatherer/frontend/handler.go
+++ b/internal/gatherer/frontend/handler.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"net/http"
 	"runtime/debug"
 	"strings"
@@ -69,8 +69,7 @@
 	w http.ResponseWriter, r *http.Request, rc *http.ResponseController, conn *clientConn,
 ) error {
 	if s.conns.overloaded() {
-		w.Header().Set("Connection", "close")
-		writeResult(w, dispatch.Result{Kind: dispatch.Rejected})
+		rejectUnread(w, rc, dispatch.Result{Kind: dispatch.Rejected})
 		return nil
 	}
 	now := s.picker.Now()
@@ -87,11 +86,13 @@
 		query.Deadline = min(query.Deadline, now+float64(remaining)/float64(time.Millisecond))
 	}
 	deadline := time.Now().Add(time.Duration((query.Deadline - now) * float64(time.Millisecond)))
-	payload, err := readBody(w, r, rc, deadline)
-	if err != nil {
-		return err
-	}
-	if err := s.limits.parseBody(query, payload); err != nil {
+	reserved := &reservation{limiter: &s.memory}
+	defer reserved.shrink(0)
+	switch err := s.readQuery(w, r, rc, conn, query, deadline, reserved); {
+	case errors.Is(err, errNoMemory):
+		s.rejectForMemory(w, rc, query.Class)
+		return nil
+	case err != nil:
 		return err
 	}
 	result, err := s.decide(r.Context(), query, conn)
@@ -100,26 +101,56 @@
 	}
 	s.closeAfterResponse(w, conn)
 	_ = rc.SetWriteDeadline(deadline.Add(writeTimeout))
-	writeResult(w, result)
+	s.respond(r.Context(), w, deadline, result, reserved)
 	return nil
 }
 
-// readBody reads a request's body. The read ends at the query's deadline at the latest, so that a slow client does not
-// occupy its connection for longer.
-func readBody(w http.ResponseWriter, r *http.Request, rc *http.ResponseController, deadline time.Time) ([]byte, error) {
-	if time.Until(deadline) < readBodyTimeout {
-		_ = rc.SetReadDeadline(deadline)
+// readQuery reads and parses the body of a query.
+func (s *Server) readQuery(
+	w http.ResponseWriter, r *http.Request, rc *http.ResponseController, conn *clientConn, query *dispatch.Query,
+	deadline time.Time, reserved *reservation,
+) error {
+	body, err := readBody(w, r, rc, deadline, reserved)
+	if err != nil {
+		return err
 	}
-	if r.ContentLength > maxBodyBytes { // rejected before any of it is read
-		w.Header().Set("Connection", "close")
-		return nil, &http.MaxBytesError{Limit: maxBodyBytes}
+	if conn != nil && !conn.markRequestRead() {
+		panic(http.ErrAbortHandler) // closed before the request was complete: it is not forwarded
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	err = s.memory.parse(r.Context(), deadline, len(body), func() error { return s.limits.parseBody(query, body) })
 	if err != nil {
-		return nil, err
+		return err
 	}
-	_ = rc.SetReadDeadline(time.Time{})
-	return body, nil
+	reserved.shrink(int64(len(query.Payload)))
+	return nil
+}
+
+// respond writes a query's result once memory for the response is available. If that takes until the deadline, the query
+// fails.
+func (s *Server) respond(
+	ctx context.Context, w http.ResponseWriter, deadline time.Time, result dispatch.Result, reserved *reservation,
+) {
+	if size := result.ValueBytes(); size > includedBytes {
+		ctx, cancel := context.WithDeadline(ctx, deadline)
+		defer cancel()
+		if reserved.await(ctx, reserved.bytes+int64(size)) != nil {
+			result = dispatch.Result{Kind: dispatch.Failed}
+		}
+	}
+	writeResult(w, result)
+}
+
+// rejectForMemory rejects a query whose body is not read, and closes its connection.
+func (s *Server) rejectForMemory(w http.ResponseWriter, rc *http.ResponseController, class string) {
+	s.memory.countRejection()
+	rejectUnread(w, rc, dispatch.Result{Kind: dispatch.Rejected, RetryAfter: s.limits.retryAfter[class]})
+}
+
+// rejectUnread rejects a query without reading the rest of its body, and closes its connection.
+func rejectUnread(w http.ResponseWriter, rc *http.ResponseController, rejected dispatch.Result) {
+	w.Header().Set("Connection", "close")
+	writeResult(w, rejected)
+	_ = rc.SetReadDeadline(longAgo) // net/http would wait for the rest
 }
 
 // decide passes a query to the picker and returns its result. It cancels the query when its client disconnects.
--- a/internal/gatherer/frontend/headerscan.go
+++ b/internal/gatherer/frontend/headerscan.go
@@ -19,8 +19,15 @@
 	line                []byte // the first bytes of the current line, up to maxHeaderName
 	sawContentLength    bool   // since the last empty line
 	sawTransferEncoding bool
+
+	// headBytes and headLines count what has arrived of the current head.
+	headBytes, headLines int // the empty line at its end included
+	headEnded            bool
 }
 
+// startHead starts the count of the next head.
+func (s *headerScanner) startHead() { s.headBytes, s.headLines, s.headEnded = 0, 0, false }
+
 // scan scans the next bytes. It reports whether a request head in them contains both headers.
 func (s *headerScanner) scan(p []byte) (conflict bool) {
 	for len(p) > 0 {
@@ -29,6 +36,9 @@
 		if newline < 0 {
 			end = len(p)
 		}
+		if !s.headEnded {
+			s.headBytes += end
+		}
 		if room := maxHeaderName - len(s.line); room > 0 {
 			s.line = append(s.line, p[:min(end, room)]...)
 		}
@@ -44,8 +54,9 @@
 
 func (s *headerScanner) endLine() {
 	name, _, isHeader := bytes.Cut(s.line, []byte{':'})
+	empty := len(bytes.TrimRight(s.line, "\r")) == 0
 	switch {
-	case len(bytes.TrimRight(s.line, "\r")) == 0:
+	case empty:
 		s.sawContentLength = false
 		s.sawTransferEncoding = false
 	case isHeader && bytes.EqualFold(name, contentLengthName):
@@ -53,5 +64,9 @@
 	case isHeader && bytes.EqualFold(name, transferEncodingName):
 		s.sawTransferEncoding = true
 	}
+	if !s.headEnded {
+		s.headEnded = empty
+		s.headLines++
+	}
 	s.line = s.line[:0]
 }
--- a/internal/gatherer/frontend/lingering.go
+++ b/internal/gatherer/frontend/lingering.go
@@ -13,18 +13,21 @@
 
 // lingeringConns holds the connections that the server has closed but whose descriptors are not yet released.
 type lingeringConns struct {
-	limit int // maximum number of connections lingering at once
-
 	mu    sync.Mutex
+	limit int           // maximum number of connections lingering at once
 	conns []*clientConn // the oldest first
 	all   sync.WaitGroup
 }
 
+// setLimit sets the maximum number of connections lingering at once.
+func (l *lingeringConns) setLimit(limit int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit = limit
+}
+
 // add adds a connection. Beyond the limit it releases the oldest one.
 func (l *lingeringConns) add(conn *clientConn) {
-	if l == nil {
-		return
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns = append(l.conns, conn)
@@ -37,9 +40,6 @@
 
 // remove removes a connection whose descriptor has been released.
 func (l *lingeringConns) remove(conn *clientConn) {
-	if l == nil {
-		return
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns = slices.DeleteFunc(l.conns, func(other *clientConn) bool { return other == conn })
--- a/internal/gatherer/frontend/listener.go
+++ b/internal/gatherer/frontend/listener.go
@@ -6,16 +6,26 @@
 type trackingListener struct {
 	net.Listener
 	tracker *connTracker
+	memory  *memoryLimiter
 }
 
 // Accept implements net.Listener.
 func (l *trackingListener) Accept() (net.Conn, error) {
+	l.tracker.awaitRoom()
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	if tcp, ok := c.(*net.TCPConn); ok {
-		return &clientConn{TCPConn: tcp, lingerFor: lingerTimeout, lingering: &l.tracker.lingering}, nil
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
 	}
-	return c, nil
+	l.tracker.hold()
+	return &clientConn{
+		TCPConn:   tcp,
+		tracker:   l.tracker,
+		lingerFor: lingerTimeout,
+		users:     1,
+		head:      reservation{limiter: l.memory},
+	}, nil
 }
--- a/internal/gatherer/frontend/readahead.go
+++ b/internal/gatherer/frontend/readahead.go
@@ -9,7 +9,7 @@
 const (
 	// maxBuffered limits the bytes buffered after a request being served. Clients send one request at a time; if one
 	// sends more than this, its connection is closed with the response.
-	maxBuffered = 16 << 10
+	maxBuffered = includedBytes
 
 	readAheadBufferBytes = 2 << 10
 )
@@ -33,13 +33,21 @@
 	return n
 }
 
+// markRequestRead records that the request being served has been read completely. It returns false if the connection was
+// closed before that: the request must not be forwarded then.
+func (c *clientConn) markRequestRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestRead = true
+	c.arrivingSince = time.Time{}
+	return !c.closedByServer
+}
+
 // watchClient starts watching the client of a request that has been read completely. Until stopWatching is called,
 // onDisconnect is called when the client closes its connection, whatever it sent before.
 func (c *clientConn) watchClient(onDisconnect func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requestRead = true
-	c.arrivingSince = time.Time{}
 	c.ahead.onDisconnect = onDisconnect
 	if c.ahead.byteConsumed {
 		c.ahead.byteConsumed = false
--- a/internal/gatherer/frontend/request.go
+++ b/internal/gatherer/frontend/request.go
@@ -16,6 +16,7 @@
 
 	"yokeroute/gather"
 	"yokeroute/internal/gatherer/dispatch"
+	"yokeroute/logic"
 )
 
 const (
@@ -27,6 +28,10 @@
 
 	weightTolerance = 0.01 // clients round weights, so their sum may differ from 1 by this much
 
+	// maxCommasPerShard limits the commas of a body outside of its texts, for each shard that it can name, before the body
+	// is parsed. A shard request has four fields.
+	maxCommasPerShard = 16
+
 	microsPerMilli = 1000
 )
 
@@ -45,10 +50,11 @@
 // queryLimits holds the settings that requests are validated against.
 type queryLimits struct {
 	classes      map[string]bool
-	keyedClasses map[string]bool // classes of idempotency-keyed queries
-	tenants      map[string]bool // empty: any tenant is accepted
-	shards       int             // 0: any shard is accepted
-	maxDeadline  time.Duration   // the longest deadline of all classes
+	keyedClasses map[string]bool    // classes of idempotency-keyed queries
+	tenants      map[string]bool    // empty: any tenant is accepted
+	shards       int                // 0: any shard is accepted
+	maxDeadline  time.Duration      // the longest deadline of all classes
+	retryAfter   map[string]float64 // Retry-After, in milliseconds, for a query that is rejected unread, by class
 }
 
 func newQueryLimits(settings *gather.Settings, log *logrus.Logger) queryLimits {
@@ -57,9 +63,11 @@
 		keyedClasses: map[string]bool{},
 		tenants:      setOf(settings.TenantNames()),
 		shards:       settings.Shards,
+		retryAfter:   map[string]float64{},
 	}
 	for _, class := range settings.Classes {
 		l.maxDeadline = max(l.maxDeadline, time.Duration(class.Deadline*float64(time.Millisecond)))
+		l.retryAfter[class.Name] = logic.LateRetryAfter(settings, &class)
 		if class.Effect == gather.IdempotencyKeyed {
 			l.keyedClasses[class.Name] = true
 			log.WithField("class", class.Name).Warn("front end: queries of an idempotency-keyed class are rejected")
@@ -96,7 +104,7 @@
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	switch {
 	case !l.classes[class]:
-		return nil, &requestError{http.StatusNotFound, fmt.Sprintf("no index %q", class)}
+		return nil, &requestError{http.StatusNotFound, fmt.Sprintf("no index %.40q", class)}
 	case r.Method != http.MethodPost:
 		return nil, &requestError{http.StatusMethodNotAllowed, "a lookup is a POST"}
 	case l.keyedClasses[class]:
@@ -134,6 +142,9 @@
 
 // parseBody parses the body of a query and adds its shard requests and payload to the query.
 func (l *queryLimits) parseBody(query *dispatch.Query, text []byte) error {
+	if l.shards > 0 && commasOutsideTexts(text) > l.shards*maxCommasPerShard {
+		return badRequest("body: too many elements")
+	}
 	var b body
 	if err := json.Unmarshal(text, &b); err != nil {
 		return badRequest("body: %s", bodyError(err))
@@ -171,6 +182,25 @@
 	return nil
 }
 
+// commasOutsideTexts counts the commas of a JSON document that are not in a string. It bounds the number of elements that
+// parsing the document creates.
+func commasOutsideTexts(text []byte) (count int) {
+	inText := false
+	for i := 0; i < len(text); i++ {
+		switch text[i] {
+		case '"':
+			inText = !inText
+		case '\\':
+			i++
+		case ',':
+			if !inText {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // bodyError returns the response text for a body that does not follow the protocol. encoding/json names the Go type of
 // the outermost value together with its package. The package was first named front; clients see the text, so it keeps
 // that name.
--- a/internal/gatherer/frontend/request_test.go
+++ b/internal/gatherer/frontend/request_test.go
@@ -192,3 +192,28 @@
 	s.serveRequest(httptest.NewRecorder(), r)
 	t.Error("the handler returned, want a panic with http.ErrAbortHandler")
 }
+
+// TestBodyWithManyElementsIsRejectedUnparsed guards against bodies of empty elements, which take many times their size and
+// much time to parse. Commas within texts do not count.
+func TestBodyWithManyElementsIsRejectedUnparsed(t *testing.T) {
+	l := newTestServer(nil, 1, nil).limits
+	const allowed = 10 * maxCommasPerShard // the test server has ten shards
+	body := func(elements int, text string) []byte {
+		return []byte(`{"shards":[{"shard":3,"weight":1}],"more":[` + strings.Repeat("1,", elements) + `1],"q":"` + text + `"}`)
+	}
+	const otherCommas = 3
+	for _, c := range []struct {
+		name string
+		body []byte
+		ok   bool
+	}{
+		{"as many as allowed", body(allowed-otherCommas, "x"), true},
+		{"one more", body(allowed-otherCommas+1, "x"), false},
+		{"in a text", body(0, strings.Repeat(`,\",`, 10_000)), true},
+	} {
+		err := l.parseBody(&dispatch.Query{}, c.body)
+		if (err == nil) != c.ok || err != nil && err.Error() != "body: too many elements" {
+			t.Errorf("%s: %v, want accepted %v", c.name, err, c.ok)
+		}
+	}
+}
--- a/internal/gatherer/frontend/response.go
+++ b/internal/gatherer/frontend/response.go
@@ -16,7 +16,12 @@
 	textInternalError = "failed"
 )
 
-const millisPerSecond = 1000
+const (
+	millisPerSecond = 1000
+
+	// hitOverhead is about how many bytes a hit takes in a response beside its value.
+	hitOverhead = 64
+)
 
 // writeResult writes a query's result as the response.
 func writeResult(w http.ResponseWriter, result dispatch.Result) {
@@ -53,7 +58,8 @@
 // resultBody returns the body of a served query. It does not use encoding/json because hits are forwarded byte for byte
 // as the shard servers returned them, whether valid UTF-8 or not.
 func resultBody(result dispatch.Result) []byte {
-	text := append([]byte(nil), `{"complete":`...)
+	text := make([]byte, 0, result.ValueBytes()+len(result.Hits)*hitOverhead+len(result.EmptyShards)*hitOverhead+hitOverhead)
+	text = append(text, `{"complete":`...)
 	text = strconv.AppendBool(text, result.Complete)
 	text = append(text, `,"hits":[`...)
 	for i, hit := range result.Hits {
--- a/internal/gatherer/frontend/server.go
+++ b/internal/gatherer/frontend/server.go
@@ -53,6 +53,9 @@
 	MaxConns     int
 	MaxUsedConns int
 
+	// Memory limits what clients can make the server hold beyond their connections.
+	Memory MemoryLimits
+
 	// Ready reports whether queries can be served; /-/ready returns 503 while it does not.
 	Ready func() bool
 
@@ -70,6 +73,7 @@
 	conns    *connTracker
 	admin    map[string]http.Handler // the handlers that Handle has registered, by path
 	active   activeQueries
+	memory   memoryLimiter
 	shutdown shutdownState
 
 	serveDone chan struct{} // closed once Serve has returned
@@ -100,6 +104,8 @@
 
 		handshakeTimeout: handshakeTimeout,
 	}
+	s.memory.log = c.Log
+	s.memory.current.Store(newMemory(c.Memory))
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.serveRequest),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -112,6 +118,12 @@
 	return s
 }
 
+// SetLimits replaces the limits on connections and on memory. What is in use beyond smaller ones stays so until it ends.
+func (s *Server) SetLimits(maxConns int, limits MemoryLimits) {
+	s.conns.setMaxOpen(maxConns)
+	s.memory.current.Store(newMemory(limits))
+}
+
 // Handle registers a handler for a path and everything below it. It must be called before Serve.
 func (s *Server) Handle(path string, handler http.Handler) { s.admin[path] = handler }
 
@@ -122,7 +134,7 @@
 	s.listener = listener
 	s.mu.Unlock()
 	defer close(s.serveDone)
-	err := s.http.Serve(&trackingListener{Listener: listener, tracker: s.conns})
+	err := s.http.Serve(&trackingListener{Listener: listener, tracker: s.conns, memory: &s.memory})
 	if s.shutdown.started.Load() { // Shutdown has closed the listener
 		return nil
 	}
--- a/internal/gatherer/service/assembly.go
+++ b/internal/gatherer/service/assembly.go
@@ -98,14 +98,6 @@
 // reservedSockets. A connection to a shard server carries many shard requests, one from a client a single query.
 func shardServerSockets(l platform.Limits) int { return (l.Sockets - reservedSockets) / 4 }
 
-// clientSockets returns the limit on client connections within the sockets left after reservedSockets and a quarter for
-// shard servers. Clients may briefly exceed the limit by an eighth, and as many connections that the server has closed
-// may still hold their sockets.
-func clientSockets(l platform.Limits) int {
-	available := l.Sockets - reservedSockets
-	return (available - available/4 - 2) * 8 / 10
-}
-
 // addShardServers adds the connection pool for shard servers.
 func (a *assembly) addShardServers() error {
 	a.pool = shardcall.New(shardcall.Config{
@@ -283,11 +275,15 @@
 	a.server = frontend.New(frontend.Config{
 		Picker:       a.Picker,
 		Settings:     a.config.Settings,
-		MaxConns:     clientSockets(limits),
+		MaxConns:     clientConns(limits, limits.Sockets),
 		MaxUsedConns: limits.Sockets / 4,
+		Memory:       clientMemory(limits),
 		Ready:        a.listed.Load,
 		Log:          a.log,
 	})
+	a.hooks.platformConfigAccepted = append(a.hooks.platformConfigAccepted, func(c *platform.Config) {
+		a.server.SetLimits(clientConns(c.Limits, limits.Sockets), clientMemory(c.Limits))
+	})
 	if a.traces != nil {
 		a.server.Handle(trace.Path, a.traces)
 	}
--- a/internal/gatherer/service/reload.go
+++ b/internal/gatherer/service/reload.go
@@ -80,11 +80,8 @@
 // ApplyRuntimeLimits configures the Go runtime for the platform's CPU and memory limits, so that the process is neither
 // killed for exceeding its memory nor throttled during a garbage collection.
 func ApplyRuntimeLimits(l platform.Limits) {
-	const (
-		bytesPerMegabyte = 1 << 20
-		// The remaining quarter is for goroutine stacks, kernel buffers and the program itself.
-		heapShare = 3.0 / 4
-	)
+	// The remaining quarter is for the program itself, and for garbage that the collector has not caught up with.
+	const heapShare = 3.0 / 4
 	runtime.GOMAXPROCS(max(int(math.Ceil(l.Cores)), 1))
 	debug.SetMemoryLimit(int64(l.MemoryMB * bytesPerMegabyte * heapShare))
 }
--- a/internal/gatherer/shardcall/frame.go
+++ b/internal/gatherer/shardcall/frame.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"strconv"
 	"unicode"
 	"unicode/utf8"
@@ -73,10 +74,18 @@
 	return buf
 }
 
-// appendRequestFrame appends one frame with the requests of the attempts, which are either all of a first pass or
-// none. Each request states the time that it has left now, since it may have waited for its connection or behind other
-// frames.
-func appendRequestFrame(buf []byte, attempts []*attempt) []byte {
+// requestFrame is a frame with the requests of attempts. Large payloads are written from where they are, since copies of
+// them for every shard request would take many times the memory of their query.
+type requestFrame struct {
+	buf   []byte // the header, the lines of the requests, and small payloads
+	cuts  []int  // positions in buf at which a large payload is inserted
+	large [][]byte
+}
+
+// appendRequestFrame returns one frame with the requests of the attempts, which are either all of a first pass or none.
+// It appends to buf. Each request states the time that it has left now, since it may have waited for its connection or
+// behind other frames.
+func appendRequestFrame(buf []byte, attempts []*attempt) requestFrame {
 	start := len(buf)
 	letter := byte(frameRequests)
 	if attempts[0].decision.FirstPass() {
@@ -86,22 +95,56 @@
 	if owned {
 		letter = frameOwned
 	}
-	buf = beginFrame(buf, letter)
+	frame := requestFrame{buf: beginFrame(buf, letter)}
+	inserted := 0
 	for _, a := range attempts {
-		buf = append(buf, a.id...)
-		buf = append(buf, ' ')
-		buf = strconv.AppendInt(buf, int64(a.decision.Shard()), 10)
-		buf = append(buf, " d="...)
-		buf = strconv.AppendInt(buf, int64(a.decision.Remaining()), 10)
-		if owned {
-			buf = appendOwnership(buf, a)
+		payload := a.decision.Payload()
+		frame.buf = appendRequestLine(frame.buf, a, owned, len(payload))
+		if len(payload) <= maxSpareBuffer {
+			frame.buf = append(frame.buf, payload...)
+			continue
 		}
-		buf = append(buf, ' ')
-		buf = strconv.AppendInt(buf, int64(len(a.decision.Payload())), 10)
-		buf = append(buf, '\n')
-		buf = append(buf, a.decision.Payload()...)
+		frame.cuts = append(frame.cuts, len(frame.buf))
+		frame.large = append(frame.large, payload)
+		inserted += len(payload)
 	}
-	return finishFrame(buf, start)
+	binary.LittleEndian.PutUint32(frame.buf[start:], uint32(len(frame.buf)-start-lengthBytes+inserted))
+	return frame
+}
+
+func appendRequestLine(buf []byte, a *attempt, owned bool, payloadBytes int) []byte {
+	buf = append(buf, a.id...)
+	buf = append(buf, ' ')
+	buf = strconv.AppendInt(buf, int64(a.decision.Shard()), 10)
+	buf = append(buf, " d="...)
+	buf = strconv.AppendInt(buf, int64(a.decision.Remaining()), 10)
+	if owned {
+		buf = appendOwnership(buf, a)
+	}
+	buf = append(buf, ' ')
+	buf = strconv.AppendInt(buf, int64(payloadBytes), 10)
+	return append(buf, '\n')
+}
+
+// writeTo writes the frame and returns how many bytes were written, and whether that is all of it.
+func (f *requestFrame) writeTo(w io.Writer) (written int64, complete bool, err error) {
+	if len(f.large) == 0 {
+		n, err := w.Write(f.buf)
+		return int64(n), n == len(f.buf), err
+	}
+	size := int64(len(f.buf))
+	pieces := make(net.Buffers, 0, 2*len(f.large)+1)
+	from := 0
+	for i, cut := range f.cuts {
+		pieces = append(pieces, f.buf[from:cut], f.large[i])
+		size += int64(len(f.large[i]))
+		from = cut
+	}
+	if from < len(f.buf) {
+		pieces = append(pieces, f.buf[from:])
+	}
+	written, err = pieces.WriteTo(w)
+	return written, written == size, err
 }
 
 // appendOwnership appends the requested keys, their segment and its epoch in the format of docs/protocol-owners.md.
--- a/internal/gatherer/shardcall/writer.go
+++ b/internal/gatherer/shardcall/writer.go
@@ -82,13 +82,13 @@
 	if len(allowed) == 0 {
 		return buf, nil
 	}
-	buf = appendRequestFrame(buf, allowed)
-	n, err := nc.Write(buf)
-	c.endWrite(allowed, n == len(buf), err)
+	request := appendRequestFrame(buf, allowed)
+	n, complete, err := request.writeTo(nc)
+	c.endWrite(allowed, complete, err)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		return buf, nil // the write was stopped before its first byte, so that another frame may follow
+		return request.buf, nil // the write was stopped before its first byte, so that another frame may follow
 	}
-	return buf, err
+	return request.buf, err
 }
 
 // beginWrite returns the attempts that may be written now. It sets the write deadline of their frame to the longest
--- /dev/null
+++ b/internal/testbed/floodclient/main.go
@@ -0,0 +1,110 @@
+// Command floodclient is a client that floods a gatherer: many connections send requests again and again, and connect
+// again as soon as they are closed. It runs as a process of its own, so that it does not slow down the clients of a
+// test. It reads a Flood as JSON from standard input, runs until that is closed, and writes a Tally to standard output.
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	dialTimeout   = time.Second
+	redialDelay   = 20 * time.Millisecond // after a connection that was refused
+	answerTimeout = 2                     // times the time in which an answer is due
+	answerBytes   = 4 << 10
+)
+
+// flood describes what the clients send.
+type flood struct {
+	Address  string
+	Clients  int
+	Requests []string      // each client sends one of these
+	ID       string        // replaced in each request by one of the same length
+	Due      time.Duration // in which each request is owed an answer or a close
+}
+
+// tally is what came of it.
+type tally struct {
+	Sent int64
+	Late int64 // requests with neither an answer nor a close in time
+}
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "floodclient:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	input := json.NewDecoder(os.Stdin)
+	var f flood
+	if err := input.Decode(&f); err != nil {
+		return fmt.Errorf("read the flood: %w", err)
+	}
+	var sent, late atomic.Int64
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for i := range f.Clients {
+		clients.Go(func() {
+			for !closed(stop) {
+				f.useConnection(f.Requests[i%len(f.Requests)], stop, &sent, &late)
+			}
+		})
+	}
+	if _, err := io.Copy(io.Discard, os.Stdin); err != nil {
+		return err
+	}
+	close(stop)
+	clients.Wait()
+	return json.NewEncoder(os.Stdout).Encode(tally{sent.Load(), late.Load()})
+}
+
+// useConnection sends a request again and again on one connection, until that or stop is closed.
+func (f *flood) useConnection(request string, stop <-chan struct{}, sent, late *atomic.Int64) {
+	conn, err := net.DialTimeout("tcp", f.Address, dialTimeout)
+	if err != nil {
+		time.Sleep(redialDelay)
+		return
+	}
+	defer conn.Close()
+	answer := make([]byte, answerBytes)
+	text := []byte(request)
+	id := bytes.Index(text, []byte(f.ID))
+	for !closed(stop) {
+		number := sent.Add(1)
+		if id >= 0 {
+			copy(text[id:], fmt.Sprintf("%0*x", len(f.ID), number))
+		}
+		startedAt := time.Now()
+		_ = conn.SetDeadline(startedAt.Add(answerTimeout * f.Due))
+		_, err := conn.Write(text)
+		n := 0
+		if err == nil {
+			n, err = conn.Read(answer)
+		}
+		if time.Since(startedAt) > f.Due {
+			late.Add(1)
+		}
+		if err != nil || bytes.Contains(answer[:n], []byte("Connection: close")) {
+			return
+		}
+	}
+}
+
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/testbed/processtest/build.go
+++ b/internal/testbed/processtest/build.go
@@ -33,6 +33,9 @@
 	return build("./cmd/"+program, false, sets)
 }
 
+// BuildFloodClient builds the client that floods a gatherer, without the race detector.
+func BuildFloodClient() (string, error) { return build("./internal/testbed/floodclient", false, nil) }
+
 func build(program string, race bool, sets []string) (string, error) {
 	built.Lock()
 	defer built.Unlock()
