Front end: a large response uses its request's memory; closing ends the wait for room

It takes the place of the request's reservation now. And a shutdown whose time is over would have waited with Accept for connections to end; closing the listener ends that wait.

TestLargeResponseUsesMemoryOfItsRequest failed before (504), TestAcceptWaitsForEndingConnections has the closed listener.

--- a/internal/gatherer/frontend/conntracker.go
+++ b/internal/gatherer/frontend/conntracker.go
@@ -51,6 +51,8 @@
 	held int        // connections that are open, or closed and still in use by a goroutine
 	room *sync.Cond // signalled when held falls; uses mu
 
+	listenerClosed bool // nothing is accepted any more
+
 	mu           sync.Mutex
 	shuttingDown bool          // each connection is closed when it becomes idle
 	allClosed    chan struct{} // closed once no connection is open; nil before the shutdown
@@ -102,11 +104,19 @@
 func (c *connTracker) awaitRoom() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.held >= HeldConns(c.maxOpen) {
+	for c.held >= HeldConns(c.maxOpen) && !c.listenerClosed {
 		c.room.Wait()
 	}
 }
 
+// stopAwaitingRoom ends awaitRoom, since the listener is closed.
+func (c *connTracker) stopAwaitingRoom() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listenerClosed = true
+	c.room.Broadcast()
+}
+
 // hold counts an accepted connection as held, until release is called.
 func (c *connTracker) hold() {
 	c.mu.Lock()
--- a/internal/gatherer/frontend/handler.go
+++ b/internal/gatherer/frontend/handler.go
@@ -133,7 +133,7 @@
 	if size := result.ValueBytes(); size > includedBytes {
 		ctx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
-		if reserved.await(ctx, reserved.bytes+int64(size)) != nil {
+		if reserved.await(ctx, int64(size)) != nil { // in place of what the request has reserved
 			result = dispatch.Result{Kind: dispatch.Failed}
 		}
 	}
--- a/internal/gatherer/frontend/memory_test.go
+++ b/internal/gatherer/frontend/memory_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -175,6 +176,37 @@
 	}
 }
 
+// TestLargeResponseUsesMemoryOfItsRequest guards against large requests that hold all memory and wait for each other's to
+// write their responses.
+func TestLargeResponseUsesMemoryOfItsRequest(t *testing.T) {
+	const requests, textBytes = 3, 50_000
+	decided := make(chan struct{})
+	_, s, address := startServer(t, 10, func(context.Context, *dispatch.Query) dispatch.Result {
+		<-decided
+		hit := dispatch.Hit{Shard: 3, Value: []byte(strings.Repeat("v", textBytes))}
+		return dispatch.Result{Kind: dispatch.Served, Complete: true, Hits: []dispatch.Hit{hit}}
+	})
+	limit := (bodyCopies + requests - 1) * int64(len(bodyOf(textBytes)))
+	s.SetLimits(10, MemoryLimits{Requests: limit})
+	statuses := make(chan int, requests)
+	for i := range requests {
+		go func() {
+			status, _, _ := exchange(t, address, post("/find", withID(fmt.Sprint("r", i)), bodyOf(textBytes)), 1)
+			statuses <- status[0]
+		}()
+		awaitReserved(t, s, int64(i+1)*textBytes)
+	}
+	if !s.memory.current.Load().requests.TryAcquire(limit - requests*textBytes) {
+		t.Fatal("no memory is left for others")
+	}
+	close(decided)
+	for range requests {
+		if status := <-statuses; status != 200 {
+			t.Errorf("status %d, want 200", status)
+		}
+	}
+}
+
 // TestParsingIsBounded starts to parse more bodies than the memory for that allows. They are parsed in turn, and one
 // whose deadline passes meanwhile is not parsed.
 func TestParsingIsBounded(t *testing.T) {
@@ -237,10 +269,19 @@
 		t.Errorf("accepted with %d connections held", len(held))
 	case <-time.After(50 * time.Millisecond):
 	}
-	c.onStateChange(held[0], 3) // StateClosed: net/http has ended the connection, which does not linger
+	c.onStateChange(held[0], http.StateClosed) // net/http has ended the connection, which does not linger
 	if err := <-accepted; err != nil {
 		t.Error(err)
 	}
+	go func() {
+		_, err := listener.Accept()
+		accepted <- err
+	}()
+	l.Close()
+	c.stopAwaitingRoom()
+	if err := <-accepted; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("after the listener was closed: %v, want %v", err, net.ErrClosed)
+	}
 }
 
 // TestHeldConnsStayWithinLimit checks the largest limit on connections for each number that may be held.
--- a/internal/gatherer/frontend/shutdown.go
+++ b/internal/gatherer/frontend/shutdown.go
@@ -86,6 +86,7 @@
 	case <-s.serveDone:
 	case <-ctx.Done(): // clients connect faster than they can be accepted
 		l.Close()
+		s.conns.stopAwaitingRoom()
 		<-s.serveDone
 	}
 }
