Shard calls: the test of a frame written in two parts is independent of load

The wait is a limit of the pool now, and the test sets it to 20 s; what it checks is the same, for each of its 20 answers. The default and the product's behaviour are unchanged. Package shardcall passed three times under the race detector.

--- a/internal/gatherer/shardcall/frameend.go
+++ b/internal/gatherer/shardcall/frameend.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// followingWait is how long an answer waits for the bytes behind it while other responses are expected on the
+	// defaultFollowingWait is how long an answer waits for the bytes behind it while other responses are expected on the
 	// connection. A server that writes more than the length of a frame states may do so in two writes.
-	followingWait = time.Millisecond
+	defaultFollowingWait = time.Millisecond
 
 	frameStartBytes = lengthBytes + 1 // the length and the letter
 )
@@ -26,12 +26,13 @@
 // frameReader reads the frames of a connection and the bytes behind them.
 type frameReader struct {
 	*bufio.Reader
-	nc  net.Conn
-	buf []byte // reused for the bodies
+	nc   net.Conn
+	buf  []byte        // reused for the bodies
+	wait time.Duration // for the bytes behind a frame
 }
 
-func newFrameReader(nc net.Conn) *frameReader {
-	return &frameReader{Reader: bufio.NewReader(nc), nc: nc}
+func newFrameReader(nc net.Conn, followingWait time.Duration) *frameReader {
+	return &frameReader{Reader: bufio.NewReader(nc), nc: nc, wait: followingWait}
 }
 
 // next reads one frame. The body is valid until the next call.
@@ -41,7 +42,7 @@
 }
 
 // following returns the bytes that have arrived behind the last frame, without consuming them. If another frame is
-// expected, it waits up to followingWait for the first byte, and after that until the bytes show whether they start a
+// expected, it waits for a while for the first byte, and after that until the bytes show whether they start a
 // frame. It returns nothing if the connection ends behind the frame.
 func (r *frameReader) following(frameExpected bool) ([]byte, error) {
 	switch {
@@ -75,9 +76,9 @@
 	return nil
 }
 
-// awaitByte waits up to followingWait until something has arrived. The end of the connection is not an error here.
+// awaitByte waits for a while until something has arrived. The end of the connection is not an error here.
 func (r *frameReader) awaitByte() error {
-	if err := r.nc.SetReadDeadline(time.Now().Add(followingWait)); err != nil {
+	if err := r.nc.SetReadDeadline(time.Now().Add(r.wait)); err != nil {
 		return err
 	}
 	_, err := r.Peek(1)
--- a/internal/gatherer/shardcall/frameend_test.go
+++ b/internal/gatherer/shardcall/frameend_test.go
@@ -80,12 +80,14 @@
 }
 
 // TestRestOfFrameInNextReadIsNoticed writes the end of an answer, which its length leaves out, right after the rest. A
-// server that buffers its writes does so.
+// server that buffers its writes does so. The pool waits longer than by default, so that a pause of the test between its
+// writes does not matter.
 func TestRestOfFrameInNextReadIsNoticed(t *testing.T) {
 	frame := misframed(frameAnswer, "a.0 ok 1 -\n"+shortValue, -4)
 	for range 20 {
 		shard := standin.NewShard(t)
 		h := newHarness(t, shard.Address(), nil)
+		h.limits.followingWait = 20 * time.Second
 		h.submit(t.Context(), "a", 2, 2000)
 		conn := shard.Take()
 		conn.Read()
--- a/internal/gatherer/shardcall/pool.go
+++ b/internal/gatherer/shardcall/pool.go
@@ -72,6 +72,8 @@
 	silenceTimeout time.Duration
 	// lateAnswerWindow is how long an answer is expected after its attempt has ended.
 	lateAnswerWindow time.Duration
+	// followingWait is how long an answer waits for the bytes behind it if another response is expected.
+	followingWait time.Duration
 	// drainGrace is how long the first byte of a frame may still be written after a drain is known.
 	drainGrace       time.Duration
 	hedgingAllowed   bool // two attempts of one shard request may be in flight at the same time
@@ -107,6 +109,7 @@
 		connectTimeout:   milliseconds(settings.ConnectTimeout),
 		idleTimeout:      math.MaxInt64,
 		silenceTimeout:   math.MaxInt64,
+		followingWait:    defaultFollowingWait,
 		drainGrace:       milliseconds(settings.DrainGrace),
 		hedgingAllowed:   settings.HedgingAllowed,
 		requestsPerFrame: max(settings.RequestsPerCall, 1),
--- a/internal/gatherer/shardcall/reader.go
+++ b/internal/gatherer/shardcall/reader.go
@@ -11,7 +11,7 @@
 // readLoop reads frames until the connection ends or a frame is invalid.
 func (c *conn) readLoop(nc net.Conn) {
 	defer c.recoverPanic()
-	reader := newFrameReader(nc)
+	reader := newFrameReader(nc, c.pool.limits.followingWait)
 	for {
 		letter, body, err := reader.next()
 		if err == nil {
