Front end: a connection's next reservation follows the limits in force

Found by reading the change again: a connection that had once reserved memory for a large head went on under the limits of that time, also after a SIGHUP with another limits.memory_mb. The reservation forgets its source once it is empty. grow and await no longer each look up the source, and the product has no case for a nil limiter, which only tests used: their connections get one without limits. TestReservationFollowsNewLimits; not run against the old text.

--- a/internal/gatherer/frontend/harness_test.go
+++ b/internal/gatherer/frontend/harness_test.go
@@ -126,7 +126,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { accepted.Close() })
-	return &clientConn{TCPConn: accepted.(*net.TCPConn), lingerFor: lingerTimeout}, client
+	unlimited := &memoryLimiter{}
+	unlimited.current.Store(newMemory(MemoryLimits{}))
+	return &clientConn{
+		TCPConn:   accepted.(*net.TCPConn),
+		lingerFor: lingerTimeout,
+		head:      reservation{limiter: unlimited},
+	}, client
 }
 
 // readResponse reads one response, and checks that nothing follows it if it closes the connection.
--- a/internal/gatherer/frontend/memory.go
+++ b/internal/gatherer/frontend/memory.go
@@ -73,46 +73,46 @@
 	l.log.WithField("requests", l.rejected.Swap(0)).Warn("front end: large requests rejected, too much memory is in use")
 }
 
-// reservation is the memory that one request has reserved. A nil limiter, in tests, grants everything.
+// reservation is the memory that one request has reserved.
 type reservation struct {
 	limiter *memoryLimiter
-	memory  *memory // from which it is reserved; nil before the first reservation
+	memory  *memory // from which it is reserved; nil while nothing is
 	bytes   int64
 }
 
+// source returns the memory from which more is reserved: all of a reservation is under the same limits.
+func (r *reservation) source() *memory {
+	if r.memory == nil {
+		return r.limiter.current.Load()
+	}
+	return r.memory
+}
+
 // grow reserves more, up to the given number of bytes in total. It returns false, and reserves nothing, if that would
 // exceed the limit.
 func (r *reservation) grow(total int64) bool {
-	more := total - r.bytes
-	if more <= 0 || r.limiter == nil {
+	if total <= r.bytes {
 		return true
 	}
-	if r.memory == nil {
-		r.memory = r.limiter.current.Load()
-	}
-	if !r.memory.requests.TryAcquire(more) {
+	m := r.source()
+	if !m.requests.TryAcquire(total - r.bytes) {
 		return false
 	}
-	r.bytes = total
+	r.memory, r.bytes = m, total
 	return true
 }
 
 // await is grow, but waits until the memory is available or ctx ends. It reserves no more than the limit.
 func (r *reservation) await(ctx context.Context, total int64) error {
-	if r.limiter == nil {
-		return nil
-	}
-	if r.memory == nil {
-		r.memory = r.limiter.current.Load()
-	}
-	total = min(total, r.memory.limits.Requests)
+	m := r.source()
+	total = min(total, m.limits.Requests)
 	if total <= r.bytes {
 		return nil
 	}
-	if err := r.memory.requests.Acquire(ctx, total-r.bytes); err != nil {
+	if err := m.requests.Acquire(ctx, total-r.bytes); err != nil {
 		return err
 	}
-	r.bytes = total
+	r.memory, r.bytes = m, total
 	return nil
 }
 
@@ -123,6 +123,9 @@
 	}
 	r.memory.requests.Release(r.bytes - total)
 	r.bytes = total
+	if total == 0 {
+		r.memory = nil // the next reservation follows the limits that are then in force
+	}
 }
 
 // parse calls parse once memory to parse a body of the given size is available. It returns errNoMemory if the deadline
--- a/internal/gatherer/frontend/memory_test.go
+++ b/internal/gatherer/frontend/memory_test.go
@@ -207,6 +207,25 @@
 	}
 }
 
+// TestReservationFollowsNewLimits guards against a connection that goes on reserving under limits that were replaced. What
+// it holds stays reserved under the old ones until it is released.
+func TestReservationFollowsNewLimits(t *testing.T) {
+	l := &memoryLimiter{}
+	l.current.Store(newMemory(MemoryLimits{Requests: 10}))
+	r := reservation{limiter: l}
+	if !r.grow(8) {
+		t.Fatal("not reserved within the limit")
+	}
+	l.current.Store(newMemory(MemoryLimits{Requests: 20}))
+	if r.grow(12) {
+		t.Error("the reservation has grown beyond the limit that it was made under")
+	}
+	r.shrink(0)
+	if !r.grow(12) || r.memory.limits.Requests != 20 {
+		t.Errorf("%+v, want 12 bytes under the new limit", r)
+	}
+}
+
 // TestParsingIsBounded starts to parse more bodies than the memory for that allows. They are parsed in turn, and one
 // whose deadline passes meanwhile is not parsed.
 func TestParsingIsBounded(t *testing.T) {
