--- a/cmd/yokeroute/main_test.go
+++ b/cmd/yokeroute/main_test.go
@@ -16,6 +16,20 @@
 	return path
 }
 
+// writeLimitedConfig is writeConfig with limits of one core, memory and sockets.
+func writeLimitedConfig(t *testing.T, listen, discovery string, memoryMB, sockets int) string {
+	path := writeConfig(t, listen, discovery)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	limits := fmt.Appendf(nil, `"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"seed"`, memoryMB, sockets)
+	if err := os.WriteFile(path, bytes.Replace(text, []byte(`"seed"`), limits, 1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
 func rewriteConfig(t *testing.T, path, listen, discovery string) {
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1","settings":{"tick":5000,
 		"classes":[{"name":"find","effect":"pure","goalTime":1000000,"hardLimit":3000000}],
--- a/internal/gatherer/frontend/conntracker.go
+++ b/internal/gatherer/frontend/conntracker.go
@@ -22,15 +22,21 @@
 	// headroomDivisor is the number by which the limit is divided to get the number of connections that are tolerated
 	// beyond it. As many may linger, and as many may be closed and still in use by their goroutines.
 	headroomDivisor = 8
+
+	// headroomUses is how many kinds of connections beyond the limit have the headroom each.
+	headroomUses = 3
 )
 
+// headroom returns how many connections of each kind may be held beyond a limit.
+func headroom(maxConns int) int { return maxConns/headroomDivisor + 1 }
+
 // HeldConns returns how many connections a server may hold at once, including those that are being closed, if at most
 // maxConns of them may carry a request. Each takes a descriptor.
-func HeldConns(maxConns int) int { return maxConns + 3*(maxConns/headroomDivisor+1) }
+func HeldConns(maxConns int) int { return maxConns + headroomUses*headroom(maxConns) }
 
 // MaxConnsWithin returns the largest limit on connections that may carry a request with which at most held are held.
 func MaxConnsWithin(held int) int {
-	maxConns := held * headroomDivisor / (headroomDivisor + 3)
+	maxConns := held * headroomDivisor / (headroomDivisor + headroomUses)
 	for maxConns > 1 && HeldConns(maxConns) > held {
 		maxConns--
 	}
@@ -44,16 +50,15 @@
 // always accepted first, even if it is then closed, since clients consider a request sent once it is written to an
 // established connection.
 type connTracker struct {
-	maxOpen   int // connections on which a request may arrive
-	maxUsed   int // connections that have carried a request, active or idle
-	hardLimit int // all open connections; beyond it a new one is closed at once, so that descriptors do not run out
-
-	held int        // connections that are open, or closed and still in use by a goroutine
-	room *sync.Cond // signalled when held falls; uses mu
+	maxUsed int // connections that have carried a request, active or idle
 
-	listenerClosed bool // nothing is accepted any more
+	mu             sync.Mutex
+	maxOpen        int        // connections on which a request may arrive
+	hardLimit      int        // all open connections; beyond it a new one is closed at once, so that descriptors do not run out
+	held           int        // connections that are open, or closed and still in use by a goroutine
+	room           *sync.Cond // signalled when held falls; uses mu
+	listenerClosed bool       // nothing is accepted any more
 
-	mu           sync.Mutex
 	shuttingDown bool          // each connection is closed when it becomes idle
 	allClosed    chan struct{} // closed once no connection is open; nil before the shutdown
 	open         int
@@ -90,12 +95,11 @@
 // setMaxOpen sets the limits that follow from the number of connections on which a request may arrive. Connections
 // beyond a smaller limit are closed as others come.
 func (c *connTracker) setMaxOpen(maxOpen int) {
-	headroom := maxOpen/headroomDivisor + 1
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.maxOpen = maxOpen
-	c.hardLimit = maxOpen + headroom
-	c.lingering.setLimit(headroom)
+	c.hardLimit = maxOpen + headroom(maxOpen)
+	c.lingering.setLimit(headroom(maxOpen))
 	c.room.Broadcast()
 }
 
--- a/internal/gatherer/frontend/handler.go
+++ b/internal/gatherer/frontend/handler.go
@@ -88,13 +88,18 @@
 	deadline := time.Now().Add(time.Duration((query.Deadline - now) * float64(time.Millisecond)))
 	reserved := &reservation{limiter: &s.memory}
 	defer reserved.shrink(0)
-	switch err := s.readQuery(w, r, rc, conn, query, deadline, reserved); {
+	body, err := readBody(w, r, rc, deadline, reserved)
+	if err == nil {
+		err = s.parseBody(r.Context(), conn, query, body, deadline)
+	}
+	switch {
 	case errors.Is(err, errNoMemory):
 		s.rejectForMemory(w, rc, query.Class)
 		return nil
 	case err != nil:
 		return err
 	}
+	reserved.shrink(int64(len(query.Payload)))
 	result, err := s.decide(r.Context(), query, conn)
 	if err != nil {
 		return err
@@ -105,24 +110,14 @@
 	return nil
 }
 
-// readQuery reads and parses the body of a query.
-func (s *Server) readQuery(
-	w http.ResponseWriter, r *http.Request, rc *http.ResponseController, conn *clientConn, query *dispatch.Query,
-	deadline time.Time, reserved *reservation,
+// parseBody parses a query's body, which has been read completely, once memory for that is available.
+func (s *Server) parseBody(
+	ctx context.Context, conn *clientConn, query *dispatch.Query, body []byte, deadline time.Time,
 ) error {
-	body, err := readBody(w, r, rc, deadline, reserved)
-	if err != nil {
-		return err
-	}
 	if conn != nil && !conn.markRequestRead() {
 		panic(http.ErrAbortHandler) // closed before the request was complete: it is not forwarded
 	}
-	err = s.memory.parse(r.Context(), deadline, len(body), func() error { return s.limits.parseBody(query, body) })
-	if err != nil {
-		return err
-	}
-	reserved.shrink(int64(len(query.Payload)))
-	return nil
+	return s.memory.parse(ctx, deadline, len(body), func() error { return s.limits.parseBody(query, body) })
 }
 
 // respond writes a query's result once memory for the response is available. If that takes until the deadline, the query
--- a/internal/gatherer/frontend/response.go
+++ b/internal/gatherer/frontend/response.go
@@ -58,7 +58,7 @@
 // resultBody returns the body of a served query. It does not use encoding/json because hits are forwarded byte for byte
 // as the shard servers returned them, whether valid UTF-8 or not.
 func resultBody(result dispatch.Result) []byte {
-	text := make([]byte, 0, result.ValueBytes()+len(result.Hits)*hitOverhead+len(result.EmptyShards)*hitOverhead+hitOverhead)
+	text := make([]byte, 0, result.ValueBytes()+(len(result.Hits)+len(result.EmptyShards)+1)*hitOverhead)
 	text = append(text, `{"complete":`...)
 	text = strconv.AppendBool(text, result.Complete)
 	text = append(text, `,"hits":[`...)
--- a/internal/testbed/floodclient/main.go
+++ b/internal/testbed/floodclient/main.go
@@ -1,6 +1,6 @@
 // Command floodclient is a client that floods a gatherer: many connections send requests again and again, and connect
 // again as soon as they are closed. It runs as a process of its own, so that it does not slow down the clients of a
-// test. It reads a Flood as JSON from standard input, runs until that is closed, and writes a Tally to standard output.
+// test. It reads a flood as JSON from standard input, runs until that is closed, and writes a tally to standard output.
 package main
 
 import (
@@ -16,10 +16,10 @@
 )
 
 const (
-	dialTimeout   = time.Second
-	redialDelay   = 20 * time.Millisecond // after a connection that was refused
-	answerTimeout = 2                     // times the time in which an answer is due
-	answerBytes   = 4 << 10
+	dialTimeout         = time.Second
+	redialDelay         = 20 * time.Millisecond // after a connection that was refused
+	answerTimeoutFactor = 2                     // of the time in which an answer is due
+	answerBytes         = 4 << 10
 )
 
 // flood describes what the clients send.
@@ -85,7 +85,7 @@
 			copy(text[id:], fmt.Sprintf("%0*x", len(f.ID), number))
 		}
 		startedAt := time.Now()
-		_ = conn.SetDeadline(startedAt.Add(answerTimeout * f.Due))
+		_ = conn.SetDeadline(startedAt.Add(answerTimeoutFactor * f.Due))
 		_, err := conn.Write(text)
 		n := 0
 		if err == nil {
