--- a/review/10/main.go
+++ b/review/10/main.go
@@ -17,13 +17,13 @@
 	told     = 6 * time.Second       // the latest at which a change counts as told once discovery has it
 	dead     = 9 * time.Second       // after a server began to drain
 	watching = 12 * time.Second
-	rate     = 100 // queries a second
+	rate     = 120 // queries a second
 )
 
 func main() { kit2.Main(play) }
 
 func play(c *kit2.Case) (broken int, err error) {
-	servers, members, err := c.Shards(3, 4, 90*time.Millisecond)
+	servers, members, err := c.Shards(3, 4, 100*time.Millisecond)
 	if err != nil {
 		return 0, err
 	}
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -15,13 +15,13 @@
 	slack    = 50 * time.Millisecond // every time limit is so much longer on sockets
 	dead     = 3 * time.Second       // after a server was listed as draining
 	watching = 6 * time.Second
-	rate     = 100 // queries a second
+	rate     = 120 // queries a second
 )
 
 func main() { kit2.Main(play) }
 
 func play(c *kit2.Case) (broken int, err error) {
-	servers, members, err := c.Shards(3, 4, 90*time.Millisecond)
+	servers, members, err := c.Shards(3, 4, 100*time.Millisecond)
 	if err != nil {
 		return 0, err
 	}
--- a/review/kit2/drain.go
+++ b/review/kit2/drain.go
@@ -6,13 +6,13 @@
 	"time"
 )
 
-// Mixed makes the queries of a load: two of three are once-only claims of one or two parts, the others reads.
+// Mixed makes the queries of a load: two of three are once-only claims of two parts, the others reads.
 func Mixed(client *Client, shards int) func(n int) *Query {
 	return func(n int) *Query {
 		if n%3 == 0 {
 			return client.NewQuery("dep-resolve", rand.IntN(shards), 4+rand.IntN(4), shards, 2500*time.Millisecond)
 		}
-		return client.NewQuery("build-claim", rand.IntN(shards), 1+rand.IntN(2), shards, 3*time.Second)
+		return client.NewQuery("build-claim", rand.IntN(shards), 2, shards, 3*time.Second)
 	}
 }
 
