Discovery: a start told as long ago is neither before nor after a known start

Callers saw: after a planned restart, or a new configuration, once-only queries failed, as parts went to servers that were draining.

Cause: discovery tells a start of long ago as 0. endpointTable.reconcile ordered that 0 below every known start, so that a whole list of another source that told (terminating, 0) counted as one of an earlier process, and the known state (in service, T) stood for 6 s. In the other direction a drain told with 0 was undone by an older list that told T, as T was higher.

Change: processStart keeps the newest start told, and when the process was last told as long ago. A start orders before another only if both were told, and after a process told as long ago only if it lies after that report. Otherwise the later state is kept: a drain or removal stands until a change, a surely later process, or the recheck after 6 s. Why it works: a process that had been heard of cannot have started after it was heard of, and 0 no longer says anything on the order. A start that was told stays known when 0 follows, so that a server that warms up is not taken for warm.

--- a/internal/gatherer/discovery/endpoints.go
+++ b/internal/gatherer/discovery/endpoints.go
@@ -5,6 +5,7 @@
 
 	"yokeroute/gather"
 	"yokeroute/internal/gatherer/shardcall"
+	"yokeroute/internal/unixclock"
 )
 
 // maxRemovedNames limits how many removed servers are remembered. They are remembered because a later response may
@@ -25,13 +26,14 @@
 	// overruled holds the servers whose known state was kept although the last list, which may be older, differs.
 	overruled    map[string]bool
 	removedNames []string // removed servers that have an observation, oldest first
+	now          func() float64
 }
 
 // observation is the newest known state of a server.
 type observation struct {
-	startedAt float64
-	state     gather.State
-	source    int
+	start  processStart
+	state  gather.State
+	source int
 }
 
 func newEndpointTable() *endpointTable {
@@ -41,6 +43,7 @@
 		addresses:    map[uint32]shardcall.Address{},
 		observations: map[string]observation{},
 		overruled:    map[string]bool{},
+		now:          unixclock.New().Now,
 	}
 }
 
@@ -96,26 +99,34 @@
 func (t *endpointTable) reconcile(m *member, full bool) (startedAt float64, state gather.State) {
 	state = stateOfPhase[m.Phase]
 	previous, known := t.observations[m.ID]
-	if mayBeOlder := full && known && previous.source != t.source; mayBeOlder {
-		earlierProcess := m.UpSince < previous.startedAt && state != gather.Removed
-		earlierState := m.UpSince == previous.startedAt && state < previous.state
-		if earlierProcess || earlierState {
-			t.overruled[m.ID] = true
-			return previous.startedAt, previous.state
-		}
+	if mayBeOlder := full && known && previous.source != t.source; mayBeOlder && previous.contradicts(m) {
+		t.overruled[m.ID] = true
+		return previous.start.startedAt, previous.state
 	}
 	delete(t.overruled, m.ID)
 	if m.markedDraining {
 		t.overruled[m.ID] = true
 	}
-	t.observations[m.ID] = observation{m.UpSince, state, t.source}
-	if state == gather.Removed {
-		if known && m.UpSince < previous.startedAt { // the entry of a removed server may contain only its name
-			t.observations[m.ID] = observation{previous.startedAt, state, t.source}
-		}
+	start := previous.start.updated(m.UpSince, t.now())
+	startedAt = start.startedAt
+	if state == gather.Removed { // the entry may contain only the name
+		start.startedAt = max(start.startedAt, previous.start.startedAt)
+		startedAt = m.UpSince
 		t.rememberRemoved(m.ID)
 	}
-	return m.UpSince, state
+	t.observations[m.ID] = observation{start, state, t.source}
+	return startedAt, state
+}
+
+// contradicts reports whether an entry of a list that may be older than the observation must not replace it: the entry
+// is of an earlier process, or possibly of the same process in an earlier state.
+func (o observation) contradicts(m *member) bool {
+	state := stateOfPhase[m.Phase]
+	if state == gather.Removed {
+		return false
+	}
+	earlierState := state < o.state && !o.start.isBefore(m.UpSince)
+	return earlierState || o.start.isAfter(m.UpSince)
 }
 
 // adoptObservations attributes all observations to the current source. The next full list of the agent then counts as
@@ -147,7 +158,7 @@
 	case gather.Running: // absence from a list does not prove a removal
 		delete(t.observations, name)
 	case gather.Draining: // the server has finished draining
-		t.observations[name] = observation{last.startedAt, gather.Removed, t.source}
+		t.observations[name] = observation{last.start, gather.Removed, t.source}
 		t.rememberRemoved(name)
 	}
 	delete(t.idByName, name)
--- a/internal/gatherer/discovery/recheck_test.go
+++ b/internal/gatherer/discovery/recheck_test.go
@@ -24,13 +24,14 @@
 	mu        sync.Mutex
 	revision  int64
 	phase     string
+	upSince   int64         // start time that it reports, 0 for long ago
 	changed   chan struct{} // closed by the next change
 	silent    bool
 	fullLists int // answered requests for the full list
 }
 
 func newScriptedAgent(t *testing.T, revision int64, phase string) *scriptedAgent {
-	a := &scriptedAgent{revision: revision, phase: phase, changed: make(chan struct{})}
+	a := &scriptedAgent{revision: revision, phase: phase, upSince: 9, changed: make(chan struct{})}
 	a.Server = httptest.NewServer(a)
 	t.Cleanup(func() {
 		a.CloseClientConnections()
@@ -61,10 +62,14 @@
 	return a.fullLists
 }
 
-// document returns the list of the agent at the given revision.
+// document returns the list of an agent at the given revision.
 func document(revision int64, full bool, phase string) string {
-	return fmt.Sprintf(`{"revision":%d,"complete":%t,"members":[`+
-		`{"id":"s-00000001","host_port":"h:1","cell":0,"phase":%q,"up_since_ms":9}]}`, revision, full, phase)
+	return documentSince(revision, full, phase, 9)
+}
+
+func documentSince(revision int64, full bool, phase string, upSince int64) string {
+	return fmt.Sprintf(`{"revision":%d,"complete":%t,"members":[{"id":"s-00000001","host_port":"h:1","cell":0,`+
+		`"phase":%q,"up_since_ms":%d}]}`, revision, full, phase, upSince)
 }
 
 func (a *scriptedAgent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -73,7 +78,7 @@
 	timeout := time.After(watchDuration)
 	for {
 		a.mu.Lock()
-		revision, phase, changed, silent := a.revision, a.phase, a.changed, a.silent
+		revision, phase, upSince, changed, silent := a.revision, a.phase, a.upSince, a.changed, a.silent
 		if !watch && !silent {
 			a.fullLists++
 		}
@@ -83,10 +88,10 @@
 			<-r.Context().Done()
 			return
 		case !watch:
-			io.WriteString(w, document(revision, true, phase))
+			io.WriteString(w, documentSince(revision, true, phase, upSince))
 			return
 		case revision > after:
-			io.WriteString(w, document(revision, false, phase))
+			io.WriteString(w, documentSince(revision, false, phase, upSince))
 			return
 		}
 		select {
