Handover: a drain stored with a start of long ago holds for a list that has the start

Callers saw, with a state directory: after a restart requests went to a draining server until discovery was heard, and with an agent that is behind for 6 s more.

Cause: MarkDraining took a listed start higher than the stored one for a later process. A drain that was told with 0, long ago, is stored with 0, and any start that the known list has is higher.

Change: with 0 stored only discovery can tell a later process; the server is marked, and the recheck of 6 s ends a mark that is wrong.

Test: TestStoredDrainMarksServerWhoseStartIsLongAgo failed before the change (stored 0, listed 9: 0 servers marked, want 1). Tests of discovery's starts and of service pass.

--- a/internal/gatherer/discovery/response.go
+++ b/internal/gatherer/discovery/response.go
@@ -67,13 +67,15 @@
 }
 
 // MarkDraining marks servers as draining that the response, which may be old, lists as running. The map holds, by
-// server name, when the process that is draining was started, in Unix milliseconds. A process of the same name that
-// started later is not marked. MarkDraining returns the number of servers that it marked.
+// server name, when the process that is draining was started, in Unix milliseconds, or 0 for long ago. A process of the
+// same name is not marked if it certainly started later: a start that is listed may have been stored as long ago.
+// MarkDraining returns the number of servers that it marked.
 func (r *Response) MarkDraining(draining map[string]float64) (marked int) {
 	for i := range r.members {
 		m := &r.members[i]
-		upSince, listed := draining[m.ID]
-		if listed && m.UpSince <= upSince && stateOfPhase[m.Phase] == gather.Running {
+		upSince, stored := draining[m.ID]
+		laterProcess := upSince != 0 && m.UpSince > upSince
+		if stored && !laterProcess && stateOfPhase[m.Phase] == gather.Running {
 			m.Phase = phaseDraining
 			m.markedDraining = true
 			marked++
--- a/internal/gatherer/discovery/starttime_test.go
+++ b/internal/gatherer/discovery/starttime_test.go
@@ -124,3 +124,24 @@
 		}
 	}
 }
+
+// TestStoredDrainMarksServerWhoseStartIsLongAgo guards against requests to a server whose drain an earlier process has
+// stored with a start of long ago, or that the known list still has with its start time.
+func TestStoredDrainMarksServerWhoseStartIsLongAgo(t *testing.T) {
+	for _, c := range []struct {
+		stored float64
+		listed int64
+		want   int
+	}{
+		{9, 9, 1}, {9, 8, 1}, {9, 10, 0}, // a later process is not draining
+		{0, 0, 1}, {9, 0, 1}, {0, 9, 1},
+	} {
+		known, err := ParseResponse([]byte(documentSince(41, true, "in_service", c.listed)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if marked := known.MarkDraining(map[string]float64{"s-00000001": c.stored}); marked != c.want {
+			t.Errorf("stored %v, listed %v: %d servers are marked, want %d", c.stored, c.listed, marked, c.want)
+		}
+	}
+}
