Decisions: a server whose start is listed as long ago has not restarted

Seen in scenarios of the module: a server that was listed with a start, and then with 0, counted as restarted.

Cause: applyEndpointList took each start that differs from the known one for a new process. 0 says only that the start is long ago.

Change: gather.Restarted compares start times; 0 names no process, and the start that was listed stays.

--- a/gather/endpoint.go
+++ b/gather/endpoint.go
@@ -18,13 +18,27 @@
 	Kind             string
 	Size             float64
 	State            State
-	StartedAt        float64 // start time of its process, 0 if that is long ago
+	StartedAt        float64 // start time of its process, 0 if that is long ago; see Restarted
 	AnswersFirstPass bool
 	// ReplicaSets holds the replica sets whose shards the server holds. If it is nil, these are its own
 	// ReplicaSet and the ones before it, Settings.ReplicaSetsPerShard in all.
 	ReplicaSets []int
 }
 
+// Restarted reports whether a server that was listed with one start time, and is now listed with another, has another
+// process than before. Start times are in milliseconds. A start time of 0 names no process: once its start is long ago,
+// a process is listed with 0, and from when on a start is long ago is up to discovery.
+func Restarted(known, listed float64) bool { return listed != 0 && listed != known }
+
+// NewestStart returns the start time to keep for a server that was listed with one start time, and is now listed with
+// another. It is the listed one, or the known one if the listed one names no process.
+func NewestStart(known, listed float64) float64 {
+	if listed == 0 {
+		return known
+	}
+	return listed
+}
+
 // EndpointList is a message from discovery: the full list, a delta, or the failure of a call.
 type EndpointList struct {
 	Full      bool
--- a/logic/endpoints.go
+++ b/logic/endpoints.go
@@ -60,7 +60,7 @@
 			index = reusable
 			g.addServer(e.ID, index)
 		}
-		if !known || e.StartedAt != g.slowStart.StartedAt(index) {
+		if !known || gather.Restarted(g.slowStart.StartedAt(index), e.StartedAt) {
 			g.restartServer(e, index)
 		}
 		g.updateServer(e, index)
