Dispatch: a full list tells restarts too

Callers could see, with two-pass queries: after a server had restarted, and a full list told it, first passes went to the new process although it might not answer them.

Cause: endpointTable.apply cleared its entries before it compared the start times of a full list, so that it found restarts in deltas alone.

Change: a full list is compared with the entries before it.

Test: TestRestartsAreFoundByStartTime failed before the change (full lists, restarted false, want true).

--- a/internal/gatherer/dispatch/endpoints.go
+++ b/internal/gatherer/dispatch/endpoints.go
@@ -14,21 +14,22 @@
 
 // apply updates the table by a full list or a delta. It returns the IDs of endpoints whose process has restarted.
 func (t *endpointTable) apply(list *gather.EndpointList) (restarted []uint32) {
+	previous := t.byID
 	if list.Full {
-		clear(t.byID)
+		t.byID = make(map[uint32]gather.Endpoint, len(list.Endpoints))
 		t.order = t.order[:0]
 	}
 	for _, e := range list.Endpoints {
-		known, listed := t.byID[e.ID]
+		known, wasListed := previous[e.ID]
 		if e.State == gather.Removed {
 			delete(t.byID, e.ID)
 			t.order = slices.DeleteFunc(t.order, func(id uint32) bool { return id == e.ID })
 			continue
 		}
-		switch {
-		case !listed:
+		if _, listed := t.byID[e.ID]; !listed {
 			t.order = append(t.order, e.ID)
-		case known.StartedAt != e.StartedAt:
+		}
+		if wasListed && known.StartedAt != e.StartedAt {
 			restarted = append(restarted, e.ID)
 		}
 		t.byID[e.ID] = e
