Dispatch, handshakes: a start listed as long ago is no restart

Seen in tests: a server listed with a start, and then with 0, lost its mark that it answers first passes, was asked for it again on a connection of its own, and was handed to a restarted decision module as warm.

Cause: as in discovery and the decisions, 0 was compared as if it named a process. Discovery's table keeps a start that was told, so that live lists reach these places with it; lists of other callers do not.

Change: both use gather.Restarted; the dispatch table keeps the start that was listed.

--- a/internal/gatherer/dispatch/endpoints.go
+++ b/internal/gatherer/dispatch/endpoints.go
@@ -29,8 +29,11 @@
 		if _, listed := t.byID[e.ID]; !listed {
 			t.order = append(t.order, e.ID)
 		}
-		if wasListed && known.StartedAt != e.StartedAt {
-			restarted = append(restarted, e.ID)
+		if wasListed {
+			if gather.Restarted(known.StartedAt, e.StartedAt) {
+				restarted = append(restarted, e.ID)
+			}
+			e.StartedAt = gather.NewestStart(known.StartedAt, e.StartedAt)
 		}
 		t.byID[e.ID] = e
 	}
--- a/internal/gatherer/shardcall/handshake.go
+++ b/internal/gatherer/shardcall/handshake.go
@@ -39,7 +39,7 @@
 	if p.onFirstPassSupport == nil || s.State != gather.Running {
 		return
 	}
-	if h := s.handshake; h != nil && h.address == s.HostPort && h.startedAt == s.StartedAt {
+	if h := s.handshake; h != nil && h.address == s.HostPort && !gather.Restarted(h.startedAt, s.StartedAt) {
 		return
 	}
 	s.handshake = &handshake{s.HostPort, s.StartedAt}
--- a/internal/gatherer/shardcall/handshake_test.go
+++ b/internal/gatherer/shardcall/handshake_test.go
@@ -59,6 +59,13 @@
 	if f := <-reports; f != "2 true" {
 		t.Errorf("report %s for a restarted process, want \"2 true\"", f)
 	}
+	list[1].StartedAt = 0 // the start of the same process is long ago
+	p.SetEndpoints(list)
+	p.mu.Lock()
+	if n := p.servers[2].handshake.startedAt; n != 7 {
+		t.Errorf("handshake with the process started at %v, want 7: the server has not restarted", n)
+	}
+	p.mu.Unlock()
 	if supporting.Counts().Handshakes != 1 || len(reports) > 0 {
 		t.Errorf("the handshake was repeated without a restart")
 	}
