Host state: a start listed as long ago is no restart

Seen in a scenario: an ejected host whose start became long ago was published as healthy again, and a warming one got a higher weight than its warm-up allows, as an urgent change; the same after a restart of the decider.

Cause: SetHosts took each start that differs for another process, and Decide published 0 in place of the start.

Change: as elsewhere, by gather.Restarted and NewestStart.

Test: the scenario long_ago failed before the change in five checks, and holds; the package passes.

--- a/logic/hoststate/hoststate.go
+++ b/logic/hoststate/hoststate.go
@@ -228,12 +228,13 @@
 			d.hosts[listedHost.Name] = h
 		}
 		// After a restart or a removal the observations so far concern an earlier process of the same name.
-		if h.StartedAt != listedHost.StartedAt || listedHost.State == gather.Removed {
+		if gather.Restarted(h.StartedAt, listedHost.StartedAt) || listedHost.State == gather.Removed {
 			h.ejected, h.outlierSince, h.healthySince, h.ejections, h.latency, h.unweighted = false, 0, 0, 0, 0, true
 			for _, observations := range d.observations {
 				delete(observations, listedHost.Name)
 			}
 		}
+		listedHost.StartedAt = gather.NewestStart(h.StartedAt, listedHost.StartedAt)
 		h.Host, h.removedAt = listedHost, 0
 	}
 	for name, h := range d.hosts {
--- a/logic/hoststate/hoststate_test.go
+++ b/logic/hoststate/hoststate_test.go
@@ -23,6 +23,7 @@
 //
 //	cold SHARE TIME                      initial share and duration of the warm-up; must be the first command
 //	host NAME[,NAME] KEY=VALUE ...       changes listed hosts; keys: zone, groups, state, started, plan
+//	                                     (started: a time, 0 for now, or long-ago)
 //	drop NAME[,NAME]                     removes hosts from the list
 //	see OBSERVER NAME[,NAME] KEY=VALUE   sets what an observer reports from now on: latency (s), failure share
 //	                                     (f), extra latency of a failure (r), rate, in flight (out)
@@ -98,8 +99,13 @@
 					"running": gather.Running, "draining": gather.Draining, "gone": gather.Removed,
 				}[values[i]]
 			case "started":
-				if h.StartedAt = s.number(values[i]); values[i] == "0" {
+				switch values[i] {
+				case "0":
 					h.StartedAt = s.now
+				case "long-ago":
+					h.StartedAt = 0
+				default:
+					h.StartedAt = s.number(values[i])
 				}
 			case "plan":
 				h.PlannedWeight = s.number(values[i])
