Record: a restart without a drain is recorded as told

Seen in a test: of a server that a list gives with a new start while it stays running, the gatherer's record says nothing.

Cause: File.UpdateEndpoints compared states alone and left the start out.

Change: a restart, by gather.Restarted, is recorded like a change of state; the checker reads it as before.

Test: TestRestartWithoutDrainIsRecorded failed before the change (1 state recorded, want 2). The kept records are unchanged.

--- a/internal/gatherer/trace/file.go
+++ b/internal/gatherer/trace/file.go
@@ -48,7 +48,13 @@
 	endReason   string // why the file was finished; empty while it is being written
 	nextNumber  uint64 // number of the next query
 	open        map[*dispatch.Query]uint64
-	endpoints   map[uint32]gather.State
+	endpoints   map[uint32]recordedEndpoint
+}
+
+// recordedEndpoint is what was last recorded of an endpoint, and the newest start time of its process.
+type recordedEndpoint struct {
+	state     gather.State
+	startedAt float64 // Unix milliseconds, 0 if only reported as long ago
 }
 
 // endClosed is the endReason of a file that was closed without an error.
@@ -69,7 +75,7 @@
 		w:          rulecheck.NewWriter(f, header(c.Settings, c.StartedAt)),
 		nextNumber: 1,
 		open:       map[*dispatch.Query]uint64{},
-		endpoints:  map[uint32]gather.State{},
+		endpoints:  map[uint32]recordedEndpoint{},
 	}, nil
 }
 
@@ -148,7 +154,7 @@
 	gather.Removed:  "gone",
 }
 
-// UpdateEndpoints records the changes of endpoint states that the gatherer has received.
+// UpdateEndpoints records the changes of endpoint states, and the restarts, that the gatherer has received.
 func (r *File) UpdateEndpoints(list gather.EndpointList, at float64) {
 	if list.Failed {
 		return
@@ -158,8 +164,10 @@
 	listed := map[uint32]bool{}
 	for _, s := range list.Endpoints {
 		listed[s.ID] = true
-		if state, known := r.endpoints[s.ID]; !known || state != s.State {
-			r.endpoints[s.ID] = s.State
+		known, isKnown := r.endpoints[s.ID]
+		isNews := !isKnown || known.state != s.State || gather.Restarted(known.startedAt, s.StartedAt)
+		r.endpoints[s.ID] = recordedEndpoint{s.State, gather.NewestStart(known.startedAt, s.StartedAt)}
+		if isNews {
 			r.write(at, rulecheck.Event{Kind: rulecheck.EndpointStateLearned, Server: s.ID, State: stateTexts[s.State]})
 		}
 	}
--- a/internal/gatherer/trace/kept_test.go
+++ b/internal/gatherer/trace/kept_test.go
@@ -319,6 +319,30 @@
 	wantKept(t, "segments.record", recorded)
 }
 
+// TestRestartWithoutDrainIsRecorded guards against a slow start that the checker cannot attribute: a list reports the new
+// process of a server that was running before. A start that has become long ago is no restart.
+func TestRestartWithoutDrainIsRecorded(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "record")
+	file, err := Create(FileConfig{Name: name, MaxBytes: 1 << 20, Settings: keptSettings, StartedAt: recordStart})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, startedAt := range []float64{5, 5, 0, 5, 7, 0, 7} {
+		list := gather.EndpointList{Full: i%2 == 0, Endpoints: []gather.Endpoint{{ID: 10, StartedAt: startedAt}}}
+		file.UpdateEndpoints(list, recordStart+float64(i))
+	}
+	if err := file.Close(recordStart + 10); err != nil {
+		t.Error(err)
+	}
+	recorded, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := bytes.Count(recorded, []byte(`"told"`)); n != 2 {
+		t.Errorf("%d states were recorded, want 2, one for each process:\n%s", n, recorded)
+	}
+}
+
 // TestFullRecordMatchesKeptFile compares a record that reaches its maximum size to the kept file.
 func TestFullRecordMatchesKeptFile(t *testing.T) {
 	name := filepath.Join(t.TempDir(), "record")
