--- a/internal/gatherer/discovery/faults_test.go
+++ b/internal/gatherer/discovery/faults_test.go
@@ -360,6 +360,8 @@
 			[]string{doc(5, true, run, 9), doc(6, false, removed, 0),
 				doc(5, true, run, 9)},
 			[]gather.State{0, 2, 2}},
+		{"removal by name of a server started long ago, then an older full list",
+			[]string{doc(5, true, run, 0), doc(6, false, removed, 0), doc(5, true, run, 9)}, []gather.State{0, 2, 2}},
 		{"removal, then a later process",
 			[]string{doc(5, true, run, 9), doc(6, false, removed, 9), doc(5, true, run, 10)},
 			[]gather.State{0, 2, 0}},
--- a/internal/gatherer/discovery/starttime_test.go
+++ b/internal/gatherer/discovery/starttime_test.go
@@ -118,6 +118,8 @@
 			t.Errorf("%+v: the start time is %v, %d was reported", reports, got.StartedAt, coldSince)
 		case got.State != listed && !table.overruled["s-00000001"]:
 			t.Errorf("%+v: the state is kept as %v against the list, without a recheck", reports, got.State)
+		case got.State == listed && r.longAgo && table.overruled["s-00000001"]:
+			t.Errorf("%+v: a recheck of a state that the list agrees with", reports)
 		}
 		if t.Failed() {
 			t.FailNow()
