Dispatch: full lists are compared with restarts in the table that stands

Change: entries have the number of the full list that they were last in, and those of an earlier one are removed behind the loop.

--- a/internal/gatherer/dispatch/endpoints.go
+++ b/internal/gatherer/dispatch/endpoints.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 
 	"yokeroute/gather"
@@ -8,43 +9,56 @@
 
 // endpointTable holds the current endpoints.
 type endpointTable struct {
-	byID  map[uint32]gather.Endpoint
-	order []uint32 // IDs in the order in which they were first listed
+	byID      map[uint32]tableEntry
+	order     []uint32 // keys of byID in the order in which they were first listed
+	fullLists int      // full lists applied
 }
 
+// tableEntry is an endpoint with the number of full lists that had been applied when it was last listed.
+type tableEntry struct {
+	gather.Endpoint
+	fullList int
+}
+
+func newEndpointTable() endpointTable { return endpointTable{byID: map[uint32]tableEntry{}} }
+
 // apply updates the table by a full list or a delta. It returns the IDs of endpoints whose process has restarted.
 func (t *endpointTable) apply(list *gather.EndpointList) (restarted []uint32) {
-	previous := t.byID
 	if list.Full {
-		t.byID = make(map[uint32]gather.Endpoint, len(list.Endpoints))
+		t.fullLists++
 		t.order = t.order[:0]
 	}
 	for _, e := range list.Endpoints {
-		known, wasListed := previous[e.ID]
 		if e.State == gather.Removed {
-			delete(t.byID, e.ID)
-			t.order = slices.DeleteFunc(t.order, func(id uint32) bool { return id == e.ID })
+			t.remove(e.ID)
 			continue
 		}
-		if _, listed := t.byID[e.ID]; !listed {
+		known, isKnown := t.byID[e.ID]
+		if !isKnown || known.fullList != t.fullLists {
 			t.order = append(t.order, e.ID)
 		}
-		if wasListed {
-			if gather.Restarted(known.StartedAt, e.StartedAt) {
-				restarted = append(restarted, e.ID)
-			}
-			e.StartedAt = gather.NewestStart(known.StartedAt, e.StartedAt)
+		if isKnown && gather.Restarted(known.StartedAt, e.StartedAt) {
+			restarted = append(restarted, e.ID)
 		}
-		t.byID[e.ID] = e
+		e.StartedAt = gather.NewestStart(known.StartedAt, e.StartedAt)
+		t.byID[e.ID] = tableEntry{e, t.fullLists}
+	}
+	if len(t.byID) > len(t.order) { // a full list lacks some of the endpoints
+		maps.DeleteFunc(t.byID, func(_ uint32, e tableEntry) bool { return e.fullList != t.fullLists })
 	}
 	return restarted
 }
 
+func (t *endpointTable) remove(id uint32) {
+	delete(t.byID, id)
+	t.order = slices.DeleteFunc(t.order, func(other uint32) bool { return other == id })
+}
+
 // list returns the endpoints in the order in which they were first listed.
 func (t *endpointTable) list() []gather.Endpoint {
 	var listed []gather.Endpoint
 	for _, id := range t.order {
-		listed = append(listed, t.byID[id])
+		listed = append(listed, t.byID[id].Endpoint)
 	}
 	return listed
 }
--- a/internal/gatherer/dispatch/endpoints_test.go
+++ b/internal/gatherer/dispatch/endpoints_test.go
@@ -12,7 +12,7 @@
 // not count as warm by that.
 func TestRestartsAreFoundByStartTime(t *testing.T) {
 	for _, full := range []bool{false, true} {
-		table := endpointTable{byID: map[uint32]gather.Endpoint{}}
+		table := newEndpointTable()
 		for i, c := range []struct {
 			listed, kept float64
 			restarted    bool
--- a/internal/gatherer/dispatch/picker.go
+++ b/internal/gatherer/dispatch/picker.go
@@ -56,7 +56,7 @@
 		settings:      settings,
 		schedule:      schedule{interval: max(settings.Tick, 1), wakeAt: math.Inf(1)},
 		module:        newModuleHost(seed, settings, newLogicModule),
-		endpoints:     endpointTable{byID: map[uint32]gather.Endpoint{}},
+		endpoints:     newEndpointTable(),
 		queries:       newQueryTable(),
 	}
 }
--- a/internal/gatherer/dispatch/twopass.go
+++ b/internal/gatherer/dispatch/twopass.go
@@ -94,7 +94,7 @@
 	for _, id := range p.endpoints.order {
 		if answers, found := in.answersFirstPass[id]; found && answers != t.answersFirstPass[id] {
 			t.answersFirstPass[id] = answers
-			changed.Endpoints = append(changed.Endpoints, p.endpoints.byID[id])
+			changed.Endpoints = append(changed.Endpoints, p.endpoints.byID[id].Endpoint)
 		}
 	}
 	if len(changed.Endpoints) > 0 {
