--- a/internal/gatherer/discovery/endpoints.go
+++ b/internal/gatherer/discovery/endpoints.go
@@ -62,9 +62,10 @@
 		clear(t.overruled)
 		t.order = t.order[:0]
 	}
+	now := t.now()
 	for i := range r.members {
 		m := &r.members[i]
-		startedAt, state := t.reconcile(m, r.Full)
+		startedAt, state := t.reconcile(m, r.Full, now)
 		if state == gather.Removed && r.Full {
 			continue // treat the server as missing from the list
 		}
@@ -94,12 +95,13 @@
 	return list
 }
 
-// reconcile returns the start time and the state to use for a server, given its entry in a response and its known
-// state.
-func (t *endpointTable) reconcile(m *member, full bool) (startedAt float64, state gather.State) {
+// reconcile returns the start time and the state to use for a server, given its entry in a response that arrived at the
+// given time and its known state.
+func (t *endpointTable) reconcile(m *member, full bool, now float64) (startedAt float64, state gather.State) {
 	state = stateOfPhase[m.Phase]
 	previous, known := t.observations[m.ID]
-	if mayBeOlder := full && known && previous.source != t.source; mayBeOlder && previous.contradicts(m) {
+	mayBeOlder := full && known && previous.source != t.source
+	if mayBeOlder && previous.contradicts(m.UpSince, state) {
 		t.overruled[m.ID] = true
 		return previous.start.startedAt, previous.state
 	}
@@ -107,26 +109,25 @@
 	if m.markedDraining {
 		t.overruled[m.ID] = true
 	}
-	start := previous.start.updated(m.UpSince, t.now())
+	start := previous.start.updated(m.UpSince, now)
 	startedAt = start.startedAt
-	if state == gather.Removed { // the entry may contain only the name
-		start.startedAt = max(start.startedAt, previous.start.startedAt)
-		startedAt = m.UpSince
+	if state == gather.Removed {
+		start.startedAt = max(start.startedAt, previous.start.startedAt) // the entry may be of an earlier process
+		startedAt = m.UpSince                                            // 0 if the entry contains only the name
 		t.rememberRemoved(m.ID)
 	}
 	t.observations[m.ID] = observation{start, state, t.source}
 	return startedAt, state
 }
 
-// contradicts reports whether an entry of a list that may be older than the observation must not replace it: the entry
-// is of an earlier process, or possibly of the same process in an earlier state.
-func (o observation) contradicts(m *member) bool {
-	state := stateOfPhase[m.Phase]
-	if state == gather.Removed {
+// contradicts reports whether the start time and the state in a list that may be older than the observation must not
+// replace it: they are of an earlier process, or possibly of the same process in an earlier state.
+func (o observation) contradicts(listedStart float64, listedState gather.State) bool {
+	if listedState == gather.Removed {
 		return false
 	}
-	earlierState := state < o.state && !o.start.isBefore(m.UpSince)
-	return earlierState || o.start.isAfter(m.UpSince)
+	earlierState := listedState < o.state && !o.start.isBefore(listedStart)
+	return earlierState || o.start.isAfter(listedStart)
 }
 
 // adoptObservations attributes all observations to the current source. The next full list of the agent then counts as
--- a/internal/gatherer/trace/file.go
+++ b/internal/gatherer/trace/file.go
@@ -165,9 +165,8 @@
 	for _, s := range list.Endpoints {
 		listed[s.ID] = true
 		known, isKnown := r.endpoints[s.ID]
-		isNews := !isKnown || known.state != s.State || gather.Restarted(known.startedAt, s.StartedAt)
-		r.endpoints[s.ID] = recordedEndpoint{s.State, gather.NewestStart(known.startedAt, s.StartedAt)}
-		if isNews {
+		if !isKnown || known.state != s.State || gather.Restarted(known.startedAt, s.StartedAt) {
+			r.endpoints[s.ID] = recordedEndpoint{s.State, gather.NewestStart(known.startedAt, s.StartedAt)}
 			r.write(at, rulecheck.Event{Kind: rulecheck.EndpointStateLearned, Server: s.ID, State: stateTexts[s.State]})
 		}
 	}
--- a/logic/hoststate/ejection.go
+++ b/logic/hoststate/ejection.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -60,13 +61,9 @@
 // observers. An observer that finds half of its hosts unhealthy is distrusted: its own network path is
 // probably at fault.
 func (d *Decider) countVotes() (votesByHost map[string]*votes, trusted int) {
-	observers := make([]string, 0, len(d.observations))
-	for name := range d.observations {
-		observers = append(observers, name)
-	}
-	slices.Sort(observers) // decisions must not depend on the iteration order of a map
 	votesByHost = map[string]*votes{}
-	for _, observer := range observers {
+	// Decisions must not depend on the iteration order of a map.
+	for _, observer := range slices.Sorted(maps.Keys(d.observations)) {
 		outliers, count := d.findOutliers(d.observations[observer])
 		if count == 0 {
 			continue
--- a/logic/hoststate/hoststate.go
+++ b/logic/hoststate/hoststate.go
@@ -185,9 +185,7 @@
 		// After a restart or a removal the observations so far concern an earlier process of the same name.
 		if gather.Restarted(h.StartedAt, listedHost.StartedAt) || listedHost.State == gather.Removed {
 			h.ejected, h.outlierSince, h.healthySince, h.ejections, h.latency, h.unweighted = false, 0, 0, 0, 0, true
-			for _, observations := range d.observations {
-				delete(observations, listedHost.Name)
-			}
+			d.dropObservations(listedHost.Name)
 		}
 		listedHost.StartedAt = gather.NewestStart(h.StartedAt, listedHost.StartedAt)
 		h.Host, h.removedAt = listedHost, 0
@@ -280,13 +278,18 @@
 	}
 	for _, name := range removed {
 		delete(d.hosts, name)
-		for _, observations := range d.observations {
-			delete(observations, name)
-		}
+		d.dropObservations(name)
 	}
 	d.sortNames()
 }
 
+// dropObservations drops what all observers have measured of a host.
+func (d *Decider) dropObservations(name string) {
+	for _, observations := range d.observations {
+		delete(observations, name)
+	}
+}
+
 // publish updates the published endpoint of a host. A new weight is published if it is due and differs
 // enough. publish reports whether the endpoint has changed, and whether that is urgent.
 func (h *host) publish(reweigh bool) (changed, urgent bool) {
