Front end test: a request is admitted before its reserved memory is looked for

Cause: awaitReserved takes all free memory for a moment to see how much there is. A request that arrives just then is rejected, rightly, with 503, and the test waits for its memory in vain.

Change: the test waits until the request is admitted, or says which status it got, and looks at the memory then. All of its assertions stay.

--- a/internal/gatherer/frontend/memory_test.go
+++ b/internal/gatherer/frontend/memory_test.go
@@ -181,8 +181,9 @@
 // write their responses.
 func TestLargeResponseUsesMemoryOfItsRequest(t *testing.T) {
 	const requests, textBytes = 3, 50_000
-	decided := make(chan struct{})
+	admitted, decided := make(chan struct{}), make(chan struct{})
 	_, s, address := startServer(t, 10, func(context.Context, *dispatch.Query) dispatch.Result {
+		admitted <- struct{}{}
 		<-decided
 		hit := dispatch.Hit{Shard: 3, Value: []byte(strings.Repeat("v", textBytes))}
 		return dispatch.Result{Kind: dispatch.Served, Complete: true, Hits: []dispatch.Hit{hit}}
@@ -195,6 +196,11 @@
 			status, _, _ := exchange(t, address, post("/find", withID(fmt.Sprint("r", i)), bodyOf(textBytes)), 1)
 			statuses <- status[0]
 		}()
+		select { // awaitReserved takes the free memory for a moment, which would reject a request that arrives then
+		case <-admitted:
+		case status := <-statuses:
+			t.Fatalf("request %d got %d, want it admitted", i, status)
+		}
 		awaitReserved(t, s, int64(i+1)*textBytes)
 	}
 	if !s.memory.current.Load().requests.TryAcquire(limit - requests*textBytes) {
