Discovery: a request that takes long stays in flight beside the next ones

Cause: a limit gave a request up (0.5 s between two reads, 3 s and 10 s for a body, 3 s until the header; five requests for the list, of which the newer ones without a header were cancelled), what it had brought was dropped, and the next began anew under the same limit. A slow agent was never heard, whichever limit it was beyond.

Change: no limit ends a request. A poll without a response counts as failed as before, after 1 s, or 3 s for a long poll, and the next is made beside it; the response is used when it comes. It cancels what was asked earlier. logic/hedging says which request is cancelled once 12 are in flight (5 to a shared service): requests of many ages stay, so that neither a slow one nor one that stops for good displaces those that will be answered. Once a list has begun to arrive, the next is asked for a second later, not 0.1 s. All bodies in transfer share 64 MB, where five of 32 MB each could be. A late response that is older than what was accepted since is ignored. The recheck counts from answered requests: a poll that is late is an interruption only if nothing shows that it was none.

--- /dev/null
+++ b/internal/gatherer/discovery/slowagent_test.go
@@ -0,0 +1,173 @@
+package discovery
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"yokeroute/gather"
+)
+
+// The tests in this file have an agent that answers each request completely and correctly, but late.
+
+// pace is how an agent writes each response: a pause before the header, then pieces with pauses between them.
+type pace struct {
+	beforeHeader time.Duration
+	pieces       int
+	betweenThem  time.Duration
+}
+
+func (p pace) String() string {
+	return fmt.Sprintf("%v then %d pieces, one each %v", p.beforeHeader, p.pieces, p.betweenThem)
+}
+
+// responseTime is the time from when the agent has a response until the last of it is written.
+func (p pace) responseTime() time.Duration {
+	return p.beforeHeader + time.Duration(p.pieces-1)*p.betweenThem
+}
+
+func (p pace) write(w http.ResponseWriter, r *http.Request, text string) {
+	if !sleep(r, p.beforeHeader) {
+		return
+	}
+	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+	for i := range p.pieces {
+		if i > 0 && !sleep(r, p.betweenThem) {
+			return
+		}
+		io.WriteString(w, text[i*len(text)/p.pieces:(i+1)*len(text)/p.pieces])
+		w.(http.Flusher).Flush()
+	}
+}
+
+// sleep reports whether the client was still there after the given time.
+func sleep(r *http.Request, duration time.Duration) bool {
+	select {
+	case <-time.After(duration):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// setWrite changes how the agent writes the responses to later requests.
+func (a *scriptedAgent) setWrite(write func(http.ResponseWriter, *http.Request, string)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.write = write
+}
+
+// paces has pauses beyond each limit that requests once had, alone and together.
+var paces = []pace{
+	{0, 2, 700 * time.Millisecond},
+	{0, 2, 4 * time.Second},
+	{0, 12, 300 * time.Millisecond},
+	{700 * time.Millisecond, 1, 0},
+	{3200 * time.Millisecond, 1, 0},
+	{1500 * time.Millisecond, 4, 700 * time.Millisecond},
+	{4500 * time.Millisecond, 1, 0},
+}
+
+// knownWithin is the time within which a change that discovery has counts as known.
+const knownWithin = maxListAge
+
+func knownList(t *testing.T) *Response {
+	t.Helper()
+	known, err := ParseResponse([]byte(document(41, true, "in_service")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return known
+}
+
+// forEachPace runs a subtest for each pace, with an agent on the same machine and with a shared service. They run at the
+// same time, as they wait for most of theirs.
+func forEachPace(t *testing.T, test func(t *testing.T, p pace, shared bool)) {
+	t.Parallel()
+	var subtests sync.WaitGroup
+	defer subtests.Wait()
+	for _, p := range paces {
+		for _, shared := range []bool{false, true} {
+			subtests.Go(func() {
+				t.Run(fmt.Sprintf("%v, shared service %t", p, shared), func(t *testing.T) { test(t, p, shared) })
+			})
+		}
+	}
+}
+
+// TestDrainIsNoticedWhileAgentIsSlow guards against requests to a draining server: each request to an agent that
+// responds late was given up and repeated, so that no change was noticed any more.
+func TestDrainIsNoticedWhileAgentIsSlow(t *testing.T) {
+	forEachPace(t, func(t *testing.T, p pace, shared bool) {
+		agent := newScriptedAgent(t, 41, "in_service")
+		agent.write = p.write
+		_, changes := runStateWatcher(t, agent, knownList(t), shared)
+		expectState(t, changes, gather.Running, time.Second)
+		time.Sleep(watchDuration + p.responseTime() + 500*time.Millisecond)
+		agent.set(42, "terminating")
+		expectState(t, changes, gather.Draining, knownWithin)
+		time.Sleep(time.Second)
+		agent.set(43, "terminated")
+		expectState(t, changes, gather.Removed, knownWithin)
+	})
+}
+
+// TestListOfSlowAgentIsAccepted guards against a gatherer that is never ready, or that never notices a change after a
+// new configuration: the first list of a slow agent, or of a slow agent at another address, was never accepted.
+func TestListOfSlowAgentIsAccepted(t *testing.T) {
+	forEachPace(t, func(t *testing.T, p pace, shared bool) {
+		first := newScriptedAgent(t, 41, "in_service")
+		first.write = p.write
+		watcher, changes := runStateWatcher(t, first, nil, shared)
+		expectState(t, changes, gather.Running, knownWithin)
+		second := newScriptedAgent(t, 7, "terminating")
+		second.write = p.write
+		watcher.SetAddress(address(second.Server))
+		expectState(t, changes, gather.Draining, knownWithin)
+	})
+}
+
+// TestSlowAgentIsRechecked guards against a server that never receives a request again: its drain is undone while the
+// gatherer switches to a slow agent, of which the second full list was never accepted or never counted.
+func TestSlowAgentIsRechecked(t *testing.T) {
+	forEachPace(t, func(t *testing.T, p pace, shared bool) {
+		first := newScriptedAgent(t, 41, "terminating")
+		watcher, changes := runStateWatcher(t, first, nil, shared)
+		expectState(t, changes, gather.Draining, time.Second)
+		second := newScriptedAgent(t, 7, "in_service")
+		second.write = p.write
+		watcher.SetAddress(address(second.Server))
+		expectNoChange(t, changes, maxListAge)
+		expectState(t, changes, gather.Running, maxRecheckDelay+2*p.responseTime()-maxListAge)
+	})
+}
+
+// TestStoppedResponsesDoNotDelaySlowOnes guards against requests that stop for good, before or within their responses,
+// beside others to which the agent responds late: they must not take the places of those.
+func TestStoppedResponsesDoNotDelaySlowOnes(t *testing.T) {
+	forEachPace(t, func(t *testing.T, p pace, shared bool) {
+		agent := newScriptedAgent(t, 41, "in_service")
+		_, changes := runStateWatcher(t, agent, knownList(t), shared)
+		expectState(t, changes, gather.Running, time.Second)
+		var requests atomic.Int32
+		agent.setWrite(func(w http.ResponseWriter, r *http.Request, text string) {
+			switch requests.Add(1) % 4 {
+			case 0, 2:
+				p.write(w, r, text)
+				return
+			case 1:
+				w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+				io.WriteString(w, text[:len(text)/2])
+				w.(http.Flusher).Flush()
+			}
+			<-r.Context().Done()
+		})
+		time.Sleep(2*watchDuration + p.responseTime())
+		agent.set(42, "terminating")
+		expectState(t, changes, gather.Draining, knownWithin)
+	})
+}
