Discovery: long polls of a slow agent overlap; a late change ends a failed poll

Change: any accepted response makes the next poll a long poll. Once a poll has timed out, or its response came after that, long polls are begun each second (1.5 s to a shared service), within the 2 s that each lasts; a response in time ends that. The limits of requests in flight stay.

inflight has the error of a poll without a response, which segments had too, and Await for clients that work in rounds.

--- a/internal/control/segments/watcher.go
+++ b/internal/control/segments/watcher.go
@@ -31,12 +31,8 @@
 	maxBodyBytes = 16 << 20
 )
 
-var (
-	// errNotFull reports a response that lacks the requested full map.
-	errNotFull = errors.New("response lacks the full map, which was requested")
-	// errNoResponse reports that a poll got no complete response in time. Its request stays in flight.
-	errNoResponse = errors.New("no complete response in time")
-)
+// errNotFull reports a response that lacks the requested full map.
+var errNotFull = errors.New("response lacks the full map, which was requested")
 
 // MapReceiver receives full maps and changes. The Picker of package dispatch implements it.
 type MapReceiver interface {
@@ -111,7 +107,7 @@
 		}
 	case <-timer.C:
 		if w.newest != nil {
-			w.fail(errNoResponse)
+			w.fail(inflight.ErrNoResponse)
 		}
 	}
 }
--- a/internal/gatherer/discovery/requests.go
+++ b/internal/gatherer/discovery/requests.go
@@ -23,6 +23,11 @@
 	fullListHedgeDelay = 100 * time.Millisecond
 	// transferHedgeDelay is the delay instead if a response has begun to arrive.
 	transferHedgeDelay = time.Second
+	// agentWatchHedgeDelay and serviceWatchHedgeDelay are the delays before another long poll is made beside one of a slow
+	// agent on the same machine, and of a slow shared service. They are less than watchDuration, so that one without a
+	// response leaves no gap, or a short one, between the others.
+	agentWatchHedgeDelay   = time.Second
+	serviceWatchHedgeDelay = 1500 * time.Millisecond
 	// fullListSpacing is how much later than an answered request another one for the full list must have been made to
 	// stay in flight. An agent that is only a little slow then sends few lists that are not needed.
 	fullListSpacing = 500 * time.Millisecond
@@ -46,8 +51,6 @@
 	errOutdated = errors.New("response is older than an accepted one")
 	// errNotFull reports a response with changes to a request for the full list.
 	errNotFull = errors.New("response contains changes, want the full list")
-	// errNoResponse reports that a poll got no complete response in time. Its requests stay in flight.
-	errNoResponse = errors.New("no complete response from discovery in time")
 )
 
 // requestInfo tells what was requested: the changes since a revision, by a long poll, or else the full list.
@@ -86,12 +89,22 @@
 	return maxAgentRequests
 }
 
+// watchHedgeDelay returns the delay between long polls of a slow agent.
+func (c *Config) watchHedgeDelay() time.Duration {
+	if c.SharedService {
+		return serviceWatchHedgeDelay
+	}
+	return agentWatchHedgeDelay
+}
+
 // nextRequestAt returns when the next request is due, or the zero time if none is before the poll ends.
 func (w *Watcher) nextRequestAt() time.Time {
 	var due time.Time
 	switch newest := w.poll.newest; {
 	case newest == nil:
 		due = time.Now()
+	case newest.Info.watch && w.slow:
+		due = newest.StartedAt.Add(w.config.watchHedgeDelay())
 	case newest.Info.watch || w.config.SharedService:
 		return time.Time{}
 	case newest.Responding():
--- a/internal/gatherer/discovery/slowagent_test.go
+++ b/internal/gatherer/discovery/slowagent_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -171,3 +172,57 @@
 		expectState(t, changes, gather.Draining, knownWithin)
 	})
 }
+
+// TestLateResponseDoesNotRevertNewerOne has an agent answer a watch with a removal only after the full list was requested
+// beside it, and then send the list as it was before. That list must not bring the server back.
+func TestLateResponseDoesNotRevertNewerOne(t *testing.T) {
+	t.Parallel()
+	var lists atomic.Int32
+	listRequested, removalSent := make(chan struct{}), make(chan struct{})
+	outdatedSent := make(chan struct{}, 100)
+	_, changes := startWatcher(t, func(w http.ResponseWriter, r *http.Request) {
+		var answered <-chan struct{}
+		text := fullDocument
+		isList := r.URL.RawQuery == ""
+		switch {
+		case isList:
+			switch lists.Add(1) {
+			case 1:
+				io.WriteString(w, text)
+				return
+			case 2:
+				close(listRequested)
+			}
+			answered = removalSent
+		case strings.HasPrefix(r.URL.RawQuery, "index=41&"):
+			answered = listRequested
+			text = changeDocument
+		}
+		select {
+		case <-answered:
+		case <-r.Context().Done():
+			return
+		}
+		if isList {
+			time.Sleep(200 * time.Millisecond) // until the removal has been read
+			io.WriteString(w, text)
+			outdatedSent <- struct{}{}
+			return
+		}
+		io.WriteString(w, text)
+		w.(http.Flusher).Flush()
+		close(removalSent)
+	})
+	if l := nextList(t, changes); len(l.Endpoints) != 2 {
+		t.Fatalf("notified of %+v, want a full list with 2 endpoints", l)
+	}
+	if l := nextList(t, changes); l.Full || l.Endpoints[0].State != gather.Removed {
+		t.Fatalf("notified of %+v, want the removal", l)
+	}
+	<-outdatedSent
+	select {
+	case l := <-changes:
+		t.Errorf("then notified of %+v, want nothing", l)
+	case <-time.After(watchDuration / 2):
+	}
+}
--- a/internal/gatherer/discovery/watcher.go
+++ b/internal/gatherer/discovery/watcher.go
@@ -56,6 +56,7 @@
 	requests        *requestSet
 	downloads       *httpfetch.Quota // limits the bytes of all responses in transfer
 	poll            poll
+	slow            bool      // the last poll timed out, or its response came after that time
 	pausedUntil     time.Time // no request is made before it
 	mayEndPause     bool      // RefreshRequested ends the pause
 	lastAcceptedAt  time.Time // when the last valid response arrived, zero if none has
@@ -139,7 +140,7 @@
 		w.pausedUntil = time.Time{}
 	case <-timer.C:
 		if w.poll.timedOut(time.Now()) {
-			w.reportFailure(errNoResponse)
+			w.reportFailure(inflight.ErrNoResponse)
 		}
 	}
 }
@@ -165,6 +166,7 @@
 func (w *Watcher) startOver() {
 	w.watching = false
 	w.failing = false
+	w.slow = false
 	w.consecutiveFailures = 0
 	w.recheckAt = time.Time{}
 	w.lastAcceptedAt = time.Time{}
@@ -211,6 +213,7 @@
 		w.scheduleRecheck(true)
 	}
 	w.lastAcceptedAt = now
+	w.slow = now.Sub(request.StartedAt) >= request.Info.pollTimeout()
 	agentRestarted := r.Revision < w.endpoints.revision
 	w.requests.CancelIf(func(other *requestInFlight) bool { return agentRestarted || supersedes(request, other) })
 	changed := w.accept(request.StartedAt, r)
@@ -230,7 +233,7 @@
 	}
 	w.failing = false
 	w.consecutiveFailures = 0
-	w.watching = w.watching || r.Full
+	w.watching = true // the known list has no gap, whatever was requested beside it
 	changed := len(r.members) > 0 && r.Revision != w.endpoints.revision
 	if r.Full && w.isRecheck(requestedAt) {
 		w.endpoints.adoptObservations()
@@ -286,7 +289,9 @@
 	w.config.OnChange(gather.EndpointList{Failed: true}, w.endpoints.list())
 	// A watch that failed may have missed changes.
 	w.watching = w.canResume() && !errors.Is(err, errStale)
-	if !errors.Is(err, errNoResponse) { // whether that was an interruption shows once a response arrives
+	if errors.Is(err, inflight.ErrNoResponse) { // whether that was an interruption shows once a response arrives
+		w.slow = true
+	} else {
 		w.scheduleRecheck(true)
 	}
 	w.failing = true
--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,9 @@
 	"yokeroute/logic/hedging"
 )
 
+// ErrNoResponse reports that no complete response arrived in time. The request stays in flight.
+var ErrNoResponse = errors.New("no complete response in time")
+
 // Request is a request in flight. Info tells what was requested.
 type Request[Info any] struct {
 	Info      Info
@@ -99,6 +103,33 @@
 // Requests returns the requests in flight, oldest first. The slice is valid until the next call of a method.
 func (s *Set[Info, Response]) Requests() []*Request[Info] { return s.requests }
 
+// Await waits until a request or an earlier one succeeds, and then cancels the others. It also ends with an error of the
+// request itself, with one of an earlier request for which isFinal reports true, and with ErrNoResponse after a timeout;
+// the requests then stay in flight, so that the next call may get their responses.
+func (s *Set[Info, Response]) Await(
+	ctx context.Context, request *Request[Info], timeout time.Duration, isFinal func(error) bool,
+) (response Response, err error) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for {
+		select {
+		case result := <-s.results:
+			switch {
+			case !s.Remove(result.Request):
+			case result.Err == nil:
+				s.CancelAll()
+				return result.Response, nil
+			case result.Request == request || isFinal(result.Err):
+				return response, result.Err
+			}
+		case <-timer.C:
+			return response, ErrNoResponse
+		case <-ctx.Done():
+			return response, ctx.Err()
+		}
+	}
+}
+
 // CancelIf cancels the requests for which the condition holds.
 func (s *Set[Info, Response]) CancelIf(condition func(*Request[Info]) bool) {
 	s.requests = slices.DeleteFunc(s.requests, func(r *Request[Info]) bool {
--- a/logic/hedging/hedging_test.go
+++ b/logic/hedging/hedging_test.go
@@ -6,9 +6,9 @@
 	"testing"
 )
 
-// TestSlowPeerIsHeardBesideRequestsWithoutResponse makes a request each 100 ms to a peer that never responded before,
-// and then responds to each request after the same time. Some request must have been in flight for that long, and must
-// not have been made much earlier than necessary.
+// TestSlowPeerIsHeardBesideRequestsWithoutResponse makes a request each 100 ms to a peer that never
+// responded before, and then responds to each request after the same time. Some request must have been in
+// flight for that long, and must not have been made much earlier than necessary.
 func TestSlowPeerIsHeardBesideRequestsWithoutResponse(t *testing.T) {
 	const (
 		maxRequests  = 12
