Rollout: a gatherer that is slow is heard in a later round

A gatherer that took over 2 s for its report counted as unreachable in each round, and one that took that long to reject a claim was changed although another run held it: each round gave its requests up and made new ones under the same limit.

Change: a round waits 2 s as before. Its requests stay in flight, three reports and three claims to one gatherer at most, and a later round uses their responses. All reports under way have the same checkpoint, so that no count is lost or taken twice. Claims of a step, and releases, are made once and end after 2 s as before.

--- a/internal/control/rollout/awaitclasses_test.go
+++ b/internal/control/rollout/awaitclasses_test.go
@@ -43,7 +43,8 @@
 		Interval:  10 * time.Millisecond,
 	}}
 	newClient := func() *reportClient {
-		return &reportClient{plan: c.plan, http: s.Client(), checkpoints: make([]string, 1),
+		return &reportClient{plan: c.plan, http: s.Client(),
+			reports: newSets[*report.Document](1, maxReportRequests), checkpoints: make([]string, 1),
 			lastReports: make([]*report.Document, 1), lastReportAt: make([]time.Time, 1),
 			oldBuilds: make([]rollout.BuildInfo, 1), newBuilds: make([]rollout.BuildInfo, 1)}
 	}
--- a/internal/control/rollout/claims.go
+++ b/internal/control/rollout/claims.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"yokeroute/internal/gatherer/report"
+	"yokeroute/internal/inflight"
 	"yokeroute/internal/storage/runfolder"
 	"yokeroute/logic/rollout"
 )
@@ -39,9 +40,26 @@
 	RunID        string `json:"run"`
 }
 
-// claim claims a gatherer, or renews the claim. If the gatherer rejects it, the error tells whether another rollout
-// holds the claim or a later controller of this one.
+// claim claims a gatherer, or renews the claim, and waits for the response as long as a round does.
 func (c *reportClient) claim(ctx context.Context, g int, runID string, fencingToken uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	return c.requestClaim(ctx, g, runID, fencingToken)
+}
+
+// renewClaim claims a gatherer, or renews the claim. The response may be that to the claim of an earlier round.
+func (c *reportClient) renewClaim(ctx context.Context, g int, runID string, fencingToken uint64) error {
+	request := c.claims[g].Start(ctx, struct{}{},
+		func(ctx context.Context, _ *inflight.Request[struct{}]) (struct{}, error) {
+			return struct{}{}, c.requestClaim(ctx, g, runID, fencingToken)
+		})
+	_, err := c.claims[g].Await(ctx, request, reportTimeout, claimRejected)
+	return err
+}
+
+// requestClaim sends a claim and reads the response. If the gatherer rejects it, the error tells whether another rollout
+// holds the claim or a later controller of this one.
+func (c *reportClient) requestClaim(ctx context.Context, g int, runID string, fencingToken uint64) error {
 	body, err := json.Marshal(claimRequest{fencingToken, claimDuration.Milliseconds(), runID})
 	if err != nil {
 		return err
@@ -78,7 +96,7 @@
 	var mu sync.Mutex
 	var rejection error
 	c.forEachGatherer(func(g int) {
-		if err := c.claim(ctx, g, runID, fencingToken); claimRejected(err) {
+		if err := c.renewClaim(ctx, g, runID, fencingToken); claimRejected(err) {
 			mu.Lock()
 			defer mu.Unlock()
 			rejection = err
@@ -89,6 +107,8 @@
 
 // release releases the claim on a gatherer. Errors are ignored, since the claim expires by itself.
 func (c *reportClient) release(ctx context.Context, g int, runID string, fencingToken uint64) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
 	query := "?run=" + url.QueryEscape(runID) + "&fence=" + strconv.FormatUint(fencingToken, 10)
 	if resp, err := c.do(ctx, g, http.MethodDelete, report.ClaimPath+query, nil); err == nil {
 		resp.Body.Close()
--- a/internal/control/rollout/claims_test.go
+++ b/internal/control/rollout/claims_test.go
@@ -37,7 +37,7 @@
 		Plan:      rollout.Plan{Gatherers: []rollout.Gatherer{{Name: "g1"}, {Name: "g2"}}},
 		Processes: []GathererProcess{{ReportAddress: s.Listener.Addr().String()}, {ReportAddress: "127.0.0.1:1"}},
 	}
-	client := &reportClient{plan: p, http: s.Client()}
+	client := &reportClient{plan: p, http: s.Client(), claims: newSets[struct{}](2, maxClaimRequests)}
 	for _, c := range []struct {
 		runID        string
 		fencingToken uint64
--- a/internal/control/rollout/controller.go
+++ b/internal/control/rollout/controller.go
@@ -69,6 +69,9 @@
 		return nil, err
 	}
 	if err := c.begin(ctx, overrides); err != nil {
+		if c.reports != nil {
+			c.reports.close()
+		}
 		c.journal.Close()
 		return nil, err
 	}
--- a/internal/control/rollout/kept_test.go
+++ b/internal/control/rollout/kept_test.go
@@ -292,7 +292,8 @@
 	p := keptPlan(t.TempDir())
 	p.Gatherers, p.Processes = p.Gatherers[:1], []GathererProcess{{ReportAddress: s.Listener.Addr().String()}}
 	client := &reportClient{
-		plan: p, http: s.Client(),
+		plan: p, http: s.Client(), reports: newSets[*report.Document](1, maxReportRequests),
+		claims:      newSets[struct{}](1, maxClaimRequests),
 		checkpoints: make([]string, 1), lastReports: make([]*report.Document, 1), lastReportAt: make([]time.Time, 1),
 		oldBuilds: []rollout.BuildInfo{{Version: "41"}}, newBuilds: []rollout.BuildInfo{{Version: "42"}},
 	}
--- a/internal/control/rollout/reportclient.go
+++ b/internal/control/rollout/reportclient.go
@@ -10,16 +10,22 @@
 	"time"
 
 	"yokeroute/internal/gatherer/report"
+	"yokeroute/internal/inflight"
 	"yokeroute/logic/rollout"
 )
 
 const (
-	// reportTimeout limits the time of a request to a gatherer. It is short so that a slow gatherer does not delay the
-	// round; it counts as unreachable for this round.
+	// reportTimeout limits the wait for a gatherer in a round. It is short so that a slow gatherer does not delay the
+	// round; it counts as unreachable for this round, and a later round uses its response.
 	reportTimeout = 2 * time.Second
 
 	idleConnTimeout = 30 * time.Second
-	maxRequests     = 64 // limit of concurrent requests to gatherers
+	maxRequests     = 64 // limit of gatherers that are waited for concurrently
+	// maxReportRequests and maxClaimRequests limit the requests of each kind in flight to one gatherer.
+	maxReportRequests = 3
+	maxClaimRequests  = 3
+	// maxConns limits the connections to one gatherer. A step makes a claim of its own.
+	maxConns = maxReportRequests + maxClaimRequests + 1
 )
 
 // reportClient sends report and claim requests to the gatherers of a plan. Each report covers the time since the
@@ -28,6 +34,8 @@
 type reportClient struct {
 	plan         *Plan
 	http         *http.Client
+	reports      []*inflight.Set[struct{}, *report.Document]
+	claims       []*inflight.Set[struct{}, struct{}]
 	checkpoints  []string
 	lastReports  []*report.Document // entries are nil before the first report
 	lastReportAt []time.Time
@@ -40,14 +48,16 @@
 	n := len(p.Gatherers)
 	c := &reportClient{
 		plan:         p,
+		reports:      newSets[*report.Document](n, maxReportRequests),
+		claims:       newSets[struct{}](n, maxClaimRequests),
 		checkpoints:  make([]string, n),
 		lastReports:  make([]*report.Document, n),
 		lastReportAt: make([]time.Time, n),
 		oldBuilds:    make([]rollout.BuildInfo, n),
 		newBuilds:    make([]rollout.BuildInfo, n),
-		http: &http.Client{Timeout: reportTimeout, Transport: &http.Transport{
+		http: &http.Client{Transport: &http.Transport{
 			MaxIdleConnsPerHost: 1,
-			MaxConnsPerHost:     2,
+			MaxConnsPerHost:     maxConns,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
 		}},
@@ -68,6 +78,24 @@
 	return c, nil
 }
 
+// newSets returns a set of requests in flight for each of n gatherers.
+func newSets[Response any](n, maxRequests int) []*inflight.Set[struct{}, Response] {
+	sets := make([]*inflight.Set[struct{}, Response], n)
+	for g := range sets {
+		sets[g] = inflight.NewSet[struct{}, Response](maxRequests)
+	}
+	return sets
+}
+
+// close cancels the requests in flight.
+func (c *reportClient) close() {
+	for g := range c.plan.Gatherers {
+		c.reports[g].Close()
+		c.claims[g].Close()
+	}
+	c.http.CloseIdleConnections()
+}
+
 // do sends a request to the report server of a gatherer.
 func (c *reportClient) do(ctx context.Context, g int, method, target string, body []byte) (*http.Response, error) {
 	address := "http://" + c.plan.Processes[g].ReportAddress
@@ -92,9 +120,9 @@
 	requests.Wait()
 }
 
-// fetchReport fetches a gatherer's report and checks that it comes from the gatherer of that name.
-func (c *reportClient) fetchReport(ctx context.Context, g int) (*report.Document, error) {
-	target := report.ReportPath + "?since=" + url.QueryEscape(c.checkpoints[g])
+// requestReport fetches a gatherer's report since a checkpoint and checks that it comes from the gatherer of that name.
+func (c *reportClient) requestReport(ctx context.Context, g int, checkpoint string) (*report.Document, error) {
+	target := report.ReportPath + "?since=" + url.QueryEscape(checkpoint)
 	resp, err := c.do(ctx, g, http.MethodGet, target, nil)
 	if err != nil {
 		return nil, err
@@ -113,6 +141,17 @@
 	return d, nil
 }
 
+// fetchReport returns the next report of a gatherer, which an earlier round may have requested. All requests in flight
+// have the same checkpoint, because a report cancels the others.
+func (c *reportClient) fetchReport(ctx context.Context, g int) (*report.Document, error) {
+	checkpoint := c.checkpoints[g]
+	request := c.reports[g].Start(ctx, struct{}{},
+		func(ctx context.Context, _ *inflight.Request[struct{}]) (*report.Document, error) {
+			return c.requestReport(ctx, g, checkpoint)
+		})
+	return c.reports[g].Await(ctx, request, reportTimeout, func(error) bool { return false })
+}
+
 // observe fetches the reports of all gatherers.
 func (c *reportClient) observe(ctx context.Context, now float64) rollout.Observation {
 	o := rollout.Observation{Now: now, Gatherers: make([]rollout.GathererSample, len(c.plan.Gatherers))}
--- a/internal/control/rollout/round.go
+++ b/internal/control/rollout/round.go
@@ -22,6 +22,7 @@
 // Run executes rounds until the rollout has ended or ctx is done. It returns after the steps in progress have ended.
 func (c *Controller) Run(ctx context.Context) (*Status, error) {
 	defer c.journal.Close()
+	defer c.reports.close()
 	defer c.steps.Wait()
 	c.repeatUnfinished(ctx)
 	tick := time.NewTicker(c.plan.Interval)
