Policies: a policy server that is slow gets more time in a later try

A gatherer whose policy servers took over 3 s for a poll held no lease and kept to its fallback policy, and an operator's command failed after 20 rounds if the leader took over 1.5 s: each try was given up by its limit and repeated under it.

Polls are made one at a time, because leases rely on that (expiresAt never decreases), so that they do not overlap as those of discovery. Instead the time-out of the next try doubles when one passes without an answer, by server, from 1 to 32 s beyond the poll's own wait and from 1.5 to 12 s for a command; behind that it begins anew, so that a server that hung is not waited for long once it is back. After an answer it is twice what that took (logic/responsetimeout).

--- a/internal/control/policyclient/client.go
+++ b/internal/control/policyclient/client.go
@@ -14,12 +14,15 @@
 
 	"yokeroute/internal/control/policyapi"
 	"yokeroute/logic/policy"
+	"yokeroute/logic/responsetimeout"
 )
 
 const (
-	// attemptTimeout limits one request, so that a server that hangs does not keep the client from trying the others.
-	// The request may still be executed after the timeout, so a retry has the same idempotency key.
-	attemptTimeout = 1500 * time.Millisecond
+	// minAttemptTimeout and maxAttemptTimeout bound the timeout of one request, so that a server that hangs does not keep
+	// the client from trying the others, and one that is slow is heard in a later round. The request may still be
+	// executed after the timeout, so a retry has the same idempotency key.
+	minAttemptTimeout = 1500 * time.Millisecond
+	maxAttemptTimeout = 12 * time.Second
 	// The client retries for some seconds, which is longer than a leader election takes.
 	maxRounds  = 20
 	roundPause = 200 * time.Millisecond
@@ -35,11 +38,17 @@
 
 // call sends a request to each server in turn, for several rounds, until the leader responds.
 func call[T any](ctx context.Context, c *Client, method, path string, request any) (*T, error) {
+	timeout := responsetimeout.Timeout{
+		Min: float64(minAttemptTimeout.Milliseconds()),
+		Max: float64(maxAttemptTimeout.Milliseconds()),
+	}
 	for round := 0; ; round++ {
-		response, failures, err := callEach[T](ctx, c.Servers, method, path, request)
+		attemptTimeout := time.Duration(timeout.Current()) * time.Millisecond
+		response, failures, err := callEach[T](ctx, c.Servers, attemptTimeout, method, path, request)
 		if response != nil || err != nil {
 			return response, err
 		}
+		timeout.TimedOut() // at least one server may be slow
 		if round >= maxRounds {
 			return nil, fmt.Errorf("no policy server responded as the leader: %s", strings.Join(failures, "; "))
 		}
@@ -53,11 +62,13 @@
 
 // callEach sends a request to each server in turn, until one responds or rejects the request. It returns the response
 // or the error of the rejection, and otherwise a list of the servers' failures.
-func callEach[T any](ctx context.Context, servers []string, method, path string, request any) (*T, []string, error) {
+func callEach[T any](
+	ctx context.Context, servers []string, timeout time.Duration, method, path string, request any,
+) (*T, []string, error) {
 	var failures []string
 	for _, address := range servers {
 		e := policyapi.Endpoint{Method: method, Address: address, Path: path}
-		response, err := callOne[T](ctx, e, request)
+		response, err := callOne[T](ctx, timeout, e, request)
 		if err == nil {
 			return response, nil, nil
 		}
@@ -76,8 +87,10 @@
 }
 
 // callOne sends a request to one server.
-func callOne[T any](ctx context.Context, e policyapi.Endpoint, request any) (*T, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+func callOne[T any](
+	ctx context.Context, timeout time.Duration, e policyapi.Endpoint, request any,
+) (*T, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return policyapi.Call(ctx, http.DefaultClient, e, request, policyapi.Read[T])
 }
--- a/internal/control/policylease/poller.go
+++ b/internal/control/policylease/poller.go
@@ -13,14 +13,18 @@
 	"yokeroute/internal/config/operator"
 	"yokeroute/internal/control/policyapi"
 	"yokeroute/logic/policy"
+	"yokeroute/logic/responsetimeout"
 )
 
 const (
 	// pollWait is the time after which a server answers a poll even without an update. It is well within a lease, so
 	// that the lease is renewed although some polls are lost.
 	pollWait = 2 * time.Second
-	// responseGrace is how long after pollWait the poller waits for the response before it tries another server.
-	responseGrace = time.Second
+	// minResponseGrace and maxResponseGrace bound how long after pollWait the poller waits for the response before it
+	// tries another server. Polls are made one at a time, since leases rely on that. An update that takes longer than
+	// a lease, 10 s by default, has no effect.
+	minResponseGrace = time.Second
+	maxResponseGrace = 32 * time.Second
 
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = time.Second
@@ -42,21 +46,35 @@
 	config PollerConfig
 	lease  *Lease
 	http   *http.Client
+	graces []responsetimeout.Timeout // by server, beyond pollWait
 }
 
 // NewPoller returns a poller for a lease. It does not poll before Run is called.
 func NewPoller(lease *Lease, c PollerConfig) *Poller {
 	c.Member.KnownKinds = policy.Kinds()
-	transport := &http.Transport{
-		MaxIdleConnsPerHost:   1,
-		ResponseHeaderTimeout: pollWait + responseGrace,
-		DisableCompression:    true,
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
+	p := &Poller{config: c, lease: lease, http: &http.Client{Transport: transport}}
+	for range c.Servers {
+		p.graces = append(p.graces, responsetimeout.Timeout{
+			Min: milliseconds(minResponseGrace),
+			Max: milliseconds(maxResponseGrace),
+		})
 	}
-	return &Poller{config: c, lease: lease, http: &http.Client{Transport: transport}}
+	return p
 }
 
-// errDrained cancels a poll because the gatherer has drained: the next poll reports that to the leader at once.
-var errDrained = errors.New("the gatherer has drained")
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func duration(milliseconds float64) time.Duration {
+	return time.Duration(milliseconds * float64(time.Millisecond))
+}
+
+var (
+	// errDrained cancels a poll because the gatherer has drained: the next poll reports that to the leader at once.
+	errDrained = errors.New("the gatherer has drained")
+	// errNoResponse cancels a poll without a response in time.
+	errNoResponse = errors.New("no complete response in time")
+)
 
 // Run polls until ctx is done. No query waits for it.
 func (p *Poller) Run(ctx context.Context) {
@@ -65,7 +83,7 @@
 	backoff := minBackoff
 	failing := false
 	for ctx.Err() == nil {
-		sentAt, update, err := p.poll(ctx, p.config.Servers[current])
+		sentAt, update, err := p.poll(ctx, current)
 		switch {
 		case errors.Is(err, errDrained):
 			continue
@@ -141,11 +159,12 @@
 	}
 }
 
-// poll sends one poll. It fails with errDrained if the gatherer drains meanwhile, so that the next poll can report it
+// poll sends one poll to a server and adapts the wait for the next one. It fails with errDrained if the gatherer drains meanwhile, so that the next poll can report it
 // to the leader.
-func (p *Poller) poll(ctx context.Context, s operator.PolicyServer) (sentAt float64, u policy.Update, err error) {
-	limit := pollWait + responseGrace
-	ctx, cancelTimeout := context.WithTimeoutCause(ctx, limit, fmt.Errorf("no response within %s", limit))
+func (p *Poller) poll(ctx context.Context, server int) (sentAt float64, u policy.Update, err error) {
+	grace := &p.graces[server]
+	limit := pollWait + duration(grace.Current())
+	ctx, cancelTimeout := context.WithTimeoutCause(ctx, limit, fmt.Errorf("%w, %s", errNoResponse, limit))
 	defer cancelTimeout()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -161,14 +180,20 @@
 	stopWatching := p.cancelOnceDrained(cancel)
 	defer stopWatching()
 	sentAt = p.lease.clock()
-	e := policyapi.Endpoint{Method: http.MethodPost, Address: s.Address, Path: policyapi.PollPath}
+	startedAt := time.Now()
+	e := policyapi.Endpoint{Method: http.MethodPost, Address: p.config.Servers[server].Address, Path: policyapi.PollPath}
 	response, err := policyapi.Call(ctx, p.http, e, request, policyapi.ReadPollResponse)
 	switch {
 	case err != nil && errors.Is(context.Cause(ctx), errDrained):
 		return 0, u, errDrained
+	case err != nil && errors.Is(context.Cause(ctx), errNoResponse):
+		grace.TimedOut()
+		return 0, u, context.Cause(ctx)
 	case err != nil:
 		return 0, u, err
-	case response.Update == nil:
+	}
+	grace.Responded(milliseconds(time.Since(startedAt) - pollWait))
+	if response.Update == nil {
 		return 0, u, errors.New("the response has no update")
 	}
 	return sentAt, *response.Update, nil
