Discovery: a recheck that takes longer than a long poll is not made anew

With a shared service that needs longer for a full list than for a long poll, the list that is to override known states was requested again and again, and a server whose drain had been undone got nothing more (the new test failed before, not in service after 17 s): each answered long poll cancelled the list, or counted the second without an answer in between as an interruption.

Change: the answer to a long poll leaves a recheck in flight, which shows itself that the agent could be reached. Another is made beside one without an answer after 10 s.

--- a/internal/gatherer/discovery/requests.go
+++ b/internal/gatherer/discovery/requests.go
@@ -38,6 +38,9 @@
 	// maxListAge is the longest time that a list of one agent may lag behind what another agent has reported. By the
 	// operators' terms, a change counts as reported 6 s after discovery has it and can be reached.
 	maxListAge = 6 * time.Second
+	// recheckHedgeDelay is the delay before another recheck is made beside one without a response. It is longer than
+	// maxListAge, as the agent may have been out of reach after the first one was made.
+	recheckHedgeDelay = 10 * time.Second
 	// maxBodyBytes limits a response body. It has room for maxMembers entries of over 300 bytes each.
 	maxBodyBytes = 32 << 20
 	// maxBytesInFlight limits the bytes of all responses in transfer. Beside one that does not end, others have room.
--- a/internal/gatherer/discovery/slowagent_test.go
+++ b/internal/gatherer/discovery/slowagent_test.go
@@ -147,6 +147,27 @@
 	})
 }
 
+// TestRecheckIsNotReplacedByLongPolls guards against a recheck that is requested again and again: the agent needs longer
+// for a full list than for a long poll.
+func TestRecheckIsNotReplacedByLongPolls(t *testing.T) {
+	t.Parallel()
+	first := newScriptedAgent(t, 41, "terminating")
+	watcher, changes := runStateWatcher(t, first, nil, true)
+	expectState(t, changes, gather.Draining, time.Second)
+	const responseTime = 2 * watchDuration
+	second := newScriptedAgent(t, 7, "in_service")
+	second.setWrite(func(w http.ResponseWriter, r *http.Request, text string) {
+		if r.URL.RawQuery == "" {
+			pace{beforeHeader: responseTime, pieces: 1}.write(w, r, text)
+			return
+		}
+		io.WriteString(w, text)
+	})
+	watcher.SetAddress(address(second.Server))
+	expectNoChange(t, changes, maxListAge)
+	expectState(t, changes, gather.Running, maxRecheckDelay+2*responseTime-maxListAge)
+}
+
 // TestStoppedResponsesDoNotDelaySlowOnes guards against requests that stop for good, before or within their responses,
 // beside others to which the agent responds late: they must not take the places of those.
 func TestStoppedResponsesDoNotDelaySlowOnes(t *testing.T) {
--- a/internal/gatherer/discovery/watcher.go
+++ b/internal/gatherer/discovery/watcher.go
@@ -208,14 +208,15 @@
 // handleResponse applies a valid response and cancels the requests whose responses it supersedes.
 func (w *Watcher) handleResponse(request *requestInFlight, r *Response) {
 	now := time.Now()
-	interrupted := !w.lastAcceptedAt.IsZero() && request.StartedAt.Sub(w.lastAcceptedAt) > headerTimeout
-	if interrupted {
+	if w.isInterruption(request) {
 		w.scheduleRecheck(true)
 	}
 	w.lastAcceptedAt = now
 	w.slow = now.Sub(request.StartedAt) >= request.Info.pollTimeout()
 	agentRestarted := r.Revision < w.endpoints.revision
-	w.requests.CancelIf(func(other *requestInFlight) bool { return agentRestarted || supersedes(request, other) })
+	w.requests.CancelIf(func(other *requestInFlight) bool {
+		return agentRestarted || supersedes(request, other) && !w.isRecheckBeside(request, other)
+	})
 	changed := w.accept(request.StartedAt, r)
 	w.poll = w.pollInFlight(now)
 	answeredImmediately := now.Sub(request.StartedAt) < watchDuration/2
@@ -262,13 +263,34 @@
 	return !w.recheckAt.IsZero() && !requestedAt.Before(w.recheckAt)
 }
 
-// recheckIfDue makes the next poll request the full list if a recheck is due and has not been requested.
+// isInterruption reports whether an answered request was made so long after the last response that the agent may not have
+// been reachable between them. A recheck that was requested before that, and is still in flight, will show that it was.
+func (w *Watcher) isInterruption(answered *requestInFlight) bool {
+	reachableUntil := w.lastAcceptedAt.Add(headerTimeout)
+	if w.lastAcceptedAt.IsZero() || !answered.StartedAt.After(reachableUntil) {
+		return false
+	}
+	for _, r := range w.requests.Requests() {
+		if w.isRecheckBeside(answered, r) && !r.StartedAt.After(reachableUntil) {
+			return false
+		}
+	}
+	return true
+}
+
+// isRecheckBeside reports whether a request is a recheck that the response to a long poll does not replace.
+func (w *Watcher) isRecheckBeside(answered, other *requestInFlight) bool {
+	return answered.Info.watch && !other.Info.watch && w.isRecheck(other.StartedAt)
+}
+
+// recheckIfDue makes the next poll request the full list if a recheck is due and has not been requested recently.
 func (w *Watcher) recheckIfDue() {
-	if !w.watching || !w.isRecheck(time.Now()) {
+	now := time.Now()
+	if !w.watching || !w.isRecheck(now) {
 		return
 	}
 	for _, r := range w.requests.Requests() {
-		if !r.Info.watch && w.isRecheck(r.StartedAt) {
+		if !r.Info.watch && w.isRecheck(r.StartedAt) && now.Sub(r.StartedAt) < recheckHedgeDelay {
 			return
 		}
 	}
--- a/internal/gatherer/service/assembly.go
+++ b/internal/gatherer/service/assembly.go
@@ -22,9 +22,9 @@
 )
 
 // reservedSockets is the number of file descriptors set aside for uses other than the connections of queries: standard
-// streams, the listener, the poller, the runtime, calls to discovery while it does not answer and earlier calls that
-// are being closed, and a file being reloaded.
-const reservedSockets = 20
+// streams, the listeners, the poller, the runtime, the record, calls to discovery and for the segment map while they are
+// not answered, and a file being reloaded.
+const reservedSockets = 30
 
 // assembly holds a gatherer and the state that is needed only while its parts are added.
 type assembly struct {
