Discovery: a list that is too large is logged although it arrives late

The list of 100,001 servers took longer than its poll; the poll was logged as failed, and the list's own error, the one that tells an operator what to do, came as that of a late request and was dropped at debug level.

Change: a list that is too large is logged at error level once per outage, whether or not its request is the newest one.

--- a/internal/gatherer/discovery/watcher.go
+++ b/internal/gatherer/discovery/watcher.go
@@ -51,6 +51,7 @@
 	watching            bool      // the next poll requests changes since the known revision, else the full list
 	recheckAt           time.Time // when to request the full list again, zero for never
 	failing             bool      // the last poll failed, and this has been logged
+	tooLargeLogged      bool      // since the last valid response, a list that is too large has been logged
 	consecutiveFailures int       // failed polls in a row; it sets the backoff for a shared service
 
 	requests        *requestSet
@@ -166,6 +167,7 @@
 func (w *Watcher) startOver() {
 	w.watching = false
 	w.failing = false
+	w.tooLargeLogged = false
 	w.slow = false
 	w.consecutiveFailures = 0
 	w.recheckAt = time.Time{}
@@ -199,7 +201,7 @@
 			w.pause(retryDelay, true)
 		}
 	case w.answerExpectedBeside(request):
-		w.config.Log.WithError(err).Debug("discovery: request failed, others are in flight")
+		w.logFailure(logrus.DebugLevel, err)
 	default:
 		w.reportFailure(err)
 	}
@@ -233,6 +235,7 @@
 		w.config.Log.Info("discovery: recovered")
 	}
 	w.failing = false
+	w.tooLargeLogged = false
 	w.consecutiveFailures = 0
 	w.watching = true // the known list has no gap, whatever was requested beside it
 	changed := len(r.members) > 0 && r.Revision != w.endpoints.revision
@@ -245,69 +248,13 @@
 	return changed
 }
 
-// scheduleRecheck schedules another request for the full list if the known state of a server was kept against the
-// agent's list. The request is due once the agent has been reachable for maxListAge without interruption. restart
-// makes that time begin anew, after an interruption or when the agent falls behind.
-func (w *Watcher) scheduleRecheck(restart bool) {
-	switch {
-	case len(w.endpoints.overruled) == 0:
-		w.recheckAt = time.Time{}
-	case restart || w.recheckAt.IsZero():
-		w.recheckAt = time.Now().Add(maxListAge)
-	}
-}
-
-// isRecheck reports whether a request for the full list was made after the recheck was due, so that its response
-// overrides the known states. A response to an earlier request may be older than they are.
-func (w *Watcher) isRecheck(requestedAt time.Time) bool {
-	return !w.recheckAt.IsZero() && !requestedAt.Before(w.recheckAt)
-}
-
-// isInterruption reports whether an answered request was made so long after the last response that the agent may not have
-// been reachable between them. A recheck that was requested before that, and is still in flight, will show that it was.
-func (w *Watcher) isInterruption(answered *requestInFlight) bool {
-	reachableUntil := w.lastAcceptedAt.Add(headerTimeout)
-	if w.lastAcceptedAt.IsZero() || !answered.StartedAt.After(reachableUntil) {
-		return false
-	}
-	for _, r := range w.requests.Requests() {
-		if w.isRecheckBeside(answered, r) && !r.StartedAt.After(reachableUntil) {
-			return false
-		}
-	}
-	return true
-}
-
-// isRecheckBeside reports whether a request is a recheck that the response to a long poll does not replace.
-func (w *Watcher) isRecheckBeside(answered, other *requestInFlight) bool {
-	return answered.Info.watch && !other.Info.watch && w.isRecheck(other.StartedAt)
-}
-
-// recheckIfDue makes the next poll request the full list if a recheck is due and has not been requested recently.
-func (w *Watcher) recheckIfDue() {
-	now := time.Now()
-	if !w.watching || !w.isRecheck(now) {
-		return
-	}
-	for _, r := range w.requests.Requests() {
-		if !r.Info.watch && w.isRecheck(r.StartedAt) && now.Sub(r.StartedAt) < recheckHedgeDelay {
-			return
-		}
-	}
-	w.watching = false
-	w.poll = poll{}
-}
-
 // reportFailure logs a failed poll, calls OnChange with a failed list, and pauses. Requests in flight go on.
 func (w *Watcher) reportFailure(err error) {
 	level := logrus.WarnLevel
-	switch {
-	case w.failing: // log one visible line per outage
+	if w.failing { // log one visible line per outage
 		level = logrus.DebugLevel
-	case errors.Is(err, httpfetch.ErrTooLarge), errors.Is(err, errTooManyMembers): // a retry will not help
-		level = logrus.ErrorLevel
 	}
-	w.config.Log.WithError(err).Log(level, "discovery: poll failed, keeping the last endpoint list")
+	w.logFailure(level, err)
 	w.config.OnChange(gather.EndpointList{Failed: true}, w.endpoints.list())
 	// A watch that failed may have missed changes.
 	w.watching = w.canResume() && !errors.Is(err, errStale)
@@ -321,6 +268,17 @@
 	w.pauseAfterFailure()
 }
 
+// logFailure logs a failed poll, or a late failure of a request, at the given level. A list that is too large is logged
+// at error level once per outage, since a retry will not help.
+func (w *Watcher) logFailure(level logrus.Level, err error) {
+	tooLarge := errors.Is(err, httpfetch.ErrTooLarge) || errors.Is(err, errTooManyMembers)
+	if tooLarge && !w.tooLargeLogged {
+		level = logrus.ErrorLevel
+		w.tooLargeLogged = true
+	}
+	w.config.Log.WithError(err).Log(level, "discovery: poll failed, keeping the last endpoint list")
+}
+
 // pauseAfterFailure pauses polling. The pauses of a shared service grow with each failure in a row.
 func (w *Watcher) pauseAfterFailure() {
 	if !w.config.SharedService {
