Discovery: one list is parsed at a time; long polls of a slow shared service lie closer

TestLateOversizedListIsLoggedOnce had up to twelve lists of 20 MB arrive together, which were parsed side by side under the race detector and starved the machine: the test itself, TestSlowDiskDoesNotDelayIdempotentQueries (its process waited 6.3 s for a processor in 4.5 s), and TestStoppedResponsesDoNotDelaySlowOnes with answers after 4.5 s from a shared service. The last one had a margin of 0.3 s at best: long polls 1.5 s apart, every second one without an answer, and a fifth place that an unanswered one could lose.

Change: responses are parsed one at a time, and one that another has made unnecessary is not parsed. Long polls of a slow shared service begin 1.25 s apart, and 8 calls to it may be in flight, which is more than the 6.5 s that a poll of 4.5 s lasts.

--- a/internal/gatherer/discovery/requests.go
+++ b/internal/gatherer/discovery/requests.go
@@ -27,14 +27,14 @@
 	// agent on the same machine, and of a slow shared service. They are less than watchDuration, so that one without a
 	// response leaves no gap, or a short one, between the others.
 	agentWatchHedgeDelay   = time.Second
-	serviceWatchHedgeDelay = 1500 * time.Millisecond
+	serviceWatchHedgeDelay = 1250 * time.Millisecond
 	// fullListSpacing is how much later than an answered request another one for the full list must have been made to
 	// stay in flight. An agent that is only a little slow then sends few lists that are not needed.
 	fullListSpacing = 500 * time.Millisecond
 	// maxAgentRequests and maxServiceRequests limit the requests in flight to an agent on the same machine, and to a
 	// service that all gatherers share.
 	maxAgentRequests   = 12
-	maxServiceRequests = 5
+	maxServiceRequests = 8
 	// maxListAge is the longest time that a list of one agent may lag behind what another agent has reported. By the
 	// operators' terms, a change counts as reported 6 s after discovery has it and can be reached.
 	maxListAge = 6 * time.Second
@@ -149,6 +149,12 @@
 	if err != nil {
 		return nil, err
 	}
+	select {
+	case w.parsing <- struct{}{}:
+	case <-ctx.Done(): // another response has made this one unnecessary
+		return nil, ctx.Err()
+	}
+	defer func() { <-w.parsing }()
 	return ParseResponse(body)
 }
 
--- a/internal/gatherer/discovery/watcher.go
+++ b/internal/gatherer/discovery/watcher.go
@@ -56,6 +56,7 @@
 
 	requests        *requestSet
 	downloads       *httpfetch.Quota // limits the bytes of all responses in transfer
+	parsing         chan struct{}    // holds a value while a response is parsed, so that one is at a time
 	poll            poll
 	slow            bool      // the last poll timed out, or its response came after that time
 	pausedUntil     time.Time // no request is made before it
@@ -79,6 +80,7 @@
 		endpoints:      newEndpointTable(),
 		requests:       inflight.NewSet[requestInfo, *Response](config.maxRequests()),
 		downloads:      httpfetch.NewQuota(maxBytesInFlight),
+		parsing:        make(chan struct{}, 1),
 	}
 }
 
