--- a/internal/control/policylease/poller.go
+++ b/internal/control/policylease/poller.go
@@ -159,8 +159,8 @@
 	}
 }
 
-// poll sends one poll to a server and adapts the wait for the next one. It fails with errDrained if the gatherer drains meanwhile, so that the next poll can report it
-// to the leader.
+// poll sends one poll to a server and adapts the wait for the next one. It fails with errDrained if the gatherer drains
+// meanwhile, so that the next poll can report it to the leader.
 func (p *Poller) poll(ctx context.Context, server int) (sentAt float64, u policy.Update, err error) {
 	grace := &p.graces[server]
 	limit := pollWait + duration(grace.Current())
--- a/internal/gatherer/discovery/watcher.go
+++ b/internal/gatherer/discovery/watcher.go
@@ -198,10 +198,6 @@
 		w.handleResponse(request, result.Response)
 	case errors.Is(err, errOutdated):
 		w.config.Log.WithError(err).Debug("discovery: response ignored")
-		if request == w.poll.newest {
-			w.poll = poll{}
-			w.pause(retryDelay, true)
-		}
 	case w.answerExpectedBeside(request):
 		w.logFailure(logrus.DebugLevel, err)
 	default:
