Discovery test: await the rejected lists themselves, not the requests for them

Cause: the test's own. It ended the watcher as soon as a fourth request began and took this as proof that the lists before it had been rejected. Requests are made beside each other since, so that proves nothing: a list of 20 MB that took over a second to parse was still being parsed.

Change: the test waits until three lists have been rejected, by their log entries at any level, and asks for more than before: just three, the first of them at error level, no other entry at error level, and the previous list in use throughout.

--- a/internal/gatherer/discovery/faults_test.go
+++ b/internal/gatherer/discovery/faults_test.go
@@ -366,30 +366,28 @@
 	}
 }
 
-// TestOversizedListIsLoggedOnceAndDiscarded serves a list with more than maxMembers members. It must be logged once at
-// error level, and the previous list must stay in use.
+// TestOversizedListIsLoggedOnceAndDiscarded serves a list with more than maxMembers members, three times, however long
+// they take to parse. It must be logged once at error level, and the previous list must stay in use.
 func TestOversizedListIsLoggedOnceAndDiscarded(t *testing.T) {
+	const oversizedLists = 3
 	text := fleetDocument(maxMembers + 1)
 	var calls atomic.Int32
-	retried := make(chan struct{})
-	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		switch n := calls.Add(1); {
 		case n == 1:
 			io.WriteString(w, fullDocument)
-		case n > 4:
-			<-r.Context().Done()
-		default:
-			if n == 4 {
-				close(retried)
-			}
+		case n <= 1+oversizedLists:
 			io.WriteString(w, text)
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	}))
 	defer agent.Close()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	log.SetLevel(logrus.DebugLevel)
 	logs := logtest.NewLocal(log)
-	lists := make(chan []shardcall.Address, 100)
+	lists := make(chan []shardcall.Address, 1000)
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	watcher := New(Config{
@@ -398,7 +396,18 @@
 		Log:      log,
 	})
 	go func() { watcher.Run(ctx); close(ended) }()
-	<-retried
+	rejected := func() (levels []logrus.Level) {
+		for _, e := range logs.AllEntries() {
+			if text := fmt.Sprint(e.Data["error"]); strings.Contains(text, fmt.Sprint(maxMembers)) {
+				levels = append(levels, e.Level)
+			}
+		}
+		return levels
+	}
+	const patience = time.Minute
+	for deadline := time.Now().Add(patience); len(rejected()) < oversizedLists && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
 	stop()
 	agent.CloseClientConnections()
 	<-ended
@@ -411,12 +420,11 @@
 	for _, e := range logs.AllEntries() {
 		if e.Level == logrus.ErrorLevel {
 			errorEntries++
-			if text := fmt.Sprint(e.Data["error"]); !strings.Contains(text, fmt.Sprint(maxMembers)) {
-				t.Errorf("logged the error %q, want the limit maxMembers in it", text)
-			}
 		}
 	}
-	if errorEntries != 1 {
-		t.Errorf("logged %d times at error level, want once", errorEntries)
+	levels := rejected()
+	if len(levels) != oversizedLists || levels[0] != logrus.ErrorLevel || errorEntries != 1 {
+		t.Errorf("the limit maxMembers is named at levels %v, with %d entries at error level in all; want %d, of which "+
+			"only the first is at error level", levels, errorEntries, oversizedLists)
 	}
 }
