Discovery: a response counts against the quota until it is parsed

Cause: since lists are parsed one at a time, and the bytes of those that wait for that counted no longer once their transfer was over.

Change: httpfetch.Decode holds the quota until the body is decoded.

--- a/internal/gatherer/discovery/requests.go
+++ b/internal/gatherer/discovery/requests.go
@@ -43,7 +43,8 @@
 	recheckHedgeDelay = 10 * time.Second
 	// maxBodyBytes limits a response body. It has room for maxMembers entries of over 300 bytes each.
 	maxBodyBytes = 32 << 20
-	// maxBytesInFlight limits the bytes of all responses in transfer. Beside one that does not end, others have room.
+	// maxBytesInFlight limits the bytes of all responses in transfer or waiting to be parsed. Beside one that does not
+	// end, others have room.
 	maxBytesInFlight = 2 * maxBodyBytes
 )
 
@@ -145,10 +146,13 @@
 // get makes one request. onHeader is called when the response header has arrived.
 func (w *Watcher) get(ctx context.Context, url string, onHeader func()) (*Response, error) {
 	limits := httpfetch.Limits{MaxBytes: maxBodyBytes, Quota: w.downloads}
-	body, err := httpfetch.Get(ctx, w.client, url, limits, onHeader)
-	if err != nil {
-		return nil, err
-	}
+	return httpfetch.Decode(ctx, w.client, url, limits, onHeader, func(body []byte) (*Response, error) {
+		return w.parse(ctx, body)
+	})
+}
+
+// parse parses a response once no other is being parsed.
+func (w *Watcher) parse(ctx context.Context, body []byte) (*Response, error) {
 	select {
 	case w.parsing <- struct{}{}:
 	case <-ctx.Done(): // another response has made this one unnecessary
--- a/internal/gatherer/discovery/watcher.go
+++ b/internal/gatherer/discovery/watcher.go
@@ -55,7 +55,7 @@
 	consecutiveFailures int       // failed polls in a row; it sets the backoff for a shared service
 
 	requests        *requestSet
-	downloads       *httpfetch.Quota // limits the bytes of all responses in transfer
+	downloads       *httpfetch.Quota // limits the bytes of all responses that are not parsed yet
 	parsing         chan struct{}    // holds a value while a response is parsed, so that one is at a time
 	poll            poll
 	slow            bool      // the last poll timed out, or its response came after that time
--- a/internal/httpfetch/httpfetch.go
+++ b/internal/httpfetch/httpfetch.go
@@ -24,7 +24,8 @@
 // ErrQuotaExceeded reports that the responses in transfer together exceed their quota.
 var ErrQuotaExceeded = errors.New("responses in transfer exceed their quota")
 
-// Quota limits the bytes of all response bodies in transfer that share it. It is safe for concurrent use.
+// Quota limits the bytes of all response bodies that share it, each from its transfer until it is decoded. It is safe for
+// concurrent use.
 type Quota struct {
 	maxBytes int64
 	used     atomic.Int64
@@ -41,6 +42,33 @@
 
 // Get requests a document and returns its whole body. onHeader, if not nil, is called once the header has arrived.
 func Get(ctx context.Context, client *http.Client, url string, limits Limits, onHeader func()) ([]byte, error) {
+	identity := func(body []byte) ([]byte, error) { return body, nil }
+	return Decode(ctx, client, url, limits, onHeader, identity)
+}
+
+// Decode requests a document, as Get does, and returns what decode makes of its whole body. The body counts against the
+// quota until decode returns.
+func Decode[T any](
+	ctx context.Context, client *http.Client, url string, limits Limits, onHeader func(),
+	decode func(body []byte) (T, error),
+) (document T, err error) {
+	body := &limitedBody{limits: limits}
+	defer body.release()
+	text, err := body.download(ctx, client, url, onHeader)
+	if err != nil {
+		return document, err
+	}
+	return decode(text)
+}
+
+// limitedBody is a response body, the bytes of which count against the quota until release.
+type limitedBody struct {
+	limits Limits
+	used   int64
+}
+
+// download requests a document and returns its whole body.
+func (b *limitedBody) download(ctx context.Context, client *http.Client, url string, onHeader func()) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -53,44 +81,49 @@
 	if onHeader != nil {
 		onHeader()
 	}
-	body, err := limits.read(response.Body)
+	text, err := io.ReadAll(io.LimitReader(&quotaReader{response.Body, b}, b.limits.MaxBytes+1))
 	switch {
 	case errors.Is(err, ErrQuotaExceeded):
 		return nil, err
 	case err != nil:
-		return nil, fmt.Errorf("response truncated after %d bytes: %w", len(body), err)
-	case int64(len(body)) > limits.MaxBytes:
-		return nil, fmt.Errorf("%w: over %d bytes", ErrTooLarge, limits.MaxBytes)
+		return nil, fmt.Errorf("response truncated after %d bytes: %w", len(text), err)
+	case int64(len(text)) > b.limits.MaxBytes:
+		return nil, fmt.Errorf("%w: over %d bytes", ErrTooLarge, b.limits.MaxBytes)
 	case response.StatusCode != http.StatusOK:
 		return nil, &StatusError{response.Status}
 	}
-	return body, nil
+	return text, nil
 }
 
-// read reads a body to its end, or to one byte beyond MaxBytes.
-func (l *Limits) read(body io.Reader) ([]byte, error) {
-	if l.Quota != nil {
-		counted := &quotaReader{reader: body, quota: l.Quota}
-		defer counted.release()
-		body = counted
+// count counts some bytes against the quota.
+func (b *limitedBody) count(n int) error {
+	quota := b.limits.Quota
+	if quota == nil {
+		return nil
+	}
+	b.used += int64(n)
+	if quota.used.Add(int64(n)) > quota.maxBytes {
+		return fmt.Errorf("%w of %d bytes", ErrQuotaExceeded, quota.maxBytes)
 	}
-	return io.ReadAll(io.LimitReader(body, l.MaxBytes+1))
+	return nil
 }
 
-// quotaReader counts the bytes that it reads against a quota, until they are released.
+func (b *limitedBody) release() {
+	if quota := b.limits.Quota; quota != nil {
+		quota.used.Add(-b.used)
+	}
+}
+
+// quotaReader counts the bytes that it reads.
 type quotaReader struct {
 	reader io.Reader
-	quota  *Quota
-	used   int64
+	body   *limitedBody
 }
 
 func (r *quotaReader) Read(buffer []byte) (int, error) {
 	n, err := r.reader.Read(buffer)
-	r.used += int64(n)
-	if r.quota.used.Add(int64(n)) > r.quota.maxBytes {
-		return n, fmt.Errorf("%w of %d bytes", ErrQuotaExceeded, r.quota.maxBytes)
+	if quotaErr := r.body.count(n); quotaErr != nil {
+		return n, quotaErr
 	}
 	return n, err
 }
-
-func (r *quotaReader) release() { r.quota.used.Add(-r.used) }
--- a/internal/httpfetch/httpfetch_test.go
+++ b/internal/httpfetch/httpfetch_test.go
@@ -110,3 +110,27 @@
 		t.Errorf("after the first download: %v", err)
 	}
 }
+
+// TestQuotaIsHeldUntilBodyIsDecoded guards against memory without a bound: bodies that wait to be decoded, which takes
+// longer than their transfer, no longer counted against the quota.
+func TestQuotaIsHeldUntilBodyIsDecoded(t *testing.T) {
+	const size = 10
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, strings.Repeat("x", size))
+	}))
+	defer server.Close()
+	limits := Limits{MaxBytes: size, Quota: NewQuota(size + size/2)}
+	get := func() error {
+		_, err := Get(t.Context(), server.Client(), server.URL, limits, nil)
+		return err
+	}
+	var besideDecoding error
+	_, err := Decode(t.Context(), server.Client(), server.URL, limits, nil, func([]byte) (string, error) {
+		besideDecoding = get()
+		return "", nil
+	})
+	if afterwards := get(); err != nil || !errors.Is(besideDecoding, ErrQuotaExceeded) || afterwards != nil {
+		t.Errorf("while a body is decoded: error %v, want ErrQuotaExceeded; its own error %v, a later one %v, want none",
+			besideDecoding, err, afterwards)
+	}
+}
