--- a/internal/tlskeys/tlskeys_test.go
+++ b/internal/tlskeys/tlskeys_test.go
@@ -320,15 +320,17 @@
 		t.Fatal("replaced, and not seen")
 	}
 	issuer.noError(echo(c))
-	// Both authorities for a while, then the new one alone.
+	// Both authorities for a while, then the new one alone. The bundle is replaced in one step each time, since the watch
+	// may read it at any moment.
 	old := issuer.authority
-	issuer.newAuthority("next")
-	issuer.writeFile("ca.pem", append(old.PEM(), issuer.authority.PEM()...))
+	issuer.authority, err = NewAuthority("next", ValidFor(time.Hour))
+	issuer.noError(err)
+	issuer.noError(atomicfile.Write(server.files.Trust, append(old.PEM(), issuer.authority.PEM()...)))
 	issuer.noError(server.store.Reload(nil))
 	second, err := server.dial(server.client(issuer.issue("p2", ValidFor(time.Hour), []string{"p2"}, Client)))
 	issuer.noError(err)
 	issuer.noError(echo(c))
-	issuer.writeFile("ca.pem", issuer.authority.PEM())
+	issuer.noError(atomicfile.Write(server.files.Trust, issuer.authority.PEM()))
 	issuer.noError(server.store.Reload(nil))
 	expectClosed(t, c, "its authority was dropped")
 	issuer.noError(echo(second))
