One package converts between durations and milliseconds

Package millis takes their place: Of for a duration in milliseconds, Duration for the other way. The policy servers keep their own conversion of configured times, since it rounds. No behaviour changes.

--- a/internal/control/policylease/poller.go
+++ b/internal/control/policylease/poller.go
@@ -12,6 +12,7 @@
 
 	"yokeroute/internal/config/operator"
 	"yokeroute/internal/control/policyapi"
+	"yokeroute/internal/millis"
 	"yokeroute/logic/policy"
 	"yokeroute/logic/responsetimeout"
 )
@@ -56,19 +57,13 @@
 	p := &Poller{config: c, lease: lease, http: &http.Client{Transport: transport}}
 	for range c.Servers {
 		p.graces = append(p.graces, responsetimeout.Timeout{
-			Min: milliseconds(minResponseGrace),
-			Max: milliseconds(maxResponseGrace),
+			Min: millis.Of(minResponseGrace),
+			Max: millis.Of(maxResponseGrace),
 		})
 	}
 	return p
 }
 
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
-func duration(milliseconds float64) time.Duration {
-	return time.Duration(milliseconds * float64(time.Millisecond))
-}
-
 var (
 	// errDrained cancels a poll because the gatherer has drained: the next poll reports that to the leader at once.
 	errDrained = errors.New("the gatherer has drained")
@@ -163,7 +158,7 @@
 // meanwhile, so that the next poll can report it to the leader.
 func (p *Poller) poll(ctx context.Context, server int) (sentAt float64, u policy.Update, err error) {
 	grace := &p.graces[server]
-	limit := pollWait + duration(grace.Current())
+	limit := pollWait + millis.Duration(grace.Current())
 	ctx, cancelTimeout := context.WithTimeoutCause(ctx, limit, fmt.Errorf("%w, %s", errNoResponse, limit))
 	defer cancelTimeout()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -192,7 +187,7 @@
 	case err != nil:
 		return 0, u, err
 	}
-	grace.Responded(milliseconds(time.Since(startedAt) - pollWait))
+	grace.Responded(millis.Of(time.Since(startedAt) - pollWait))
 	if response.Update == nil {
 		return 0, u, errors.New("the response has no update")
 	}
--- a/internal/control/policylease/slowserver_test.go
+++ b/internal/control/policylease/slowserver_test.go
@@ -16,6 +16,7 @@
 	"yokeroute/gather"
 	"yokeroute/internal/config/operator"
 	"yokeroute/internal/control/policyapi"
+	"yokeroute/internal/millis"
 	"yokeroute/logic/policy"
 )
 
@@ -53,7 +54,7 @@
 	startedAt := time.Now()
 	lease := New(Config{
 		Platform: &gather.Settings{},
-		Clock:    func() float64 { return milliseconds(time.Since(startedAt)) },
+		Clock:    func() float64 { return millis.Of(time.Since(startedAt)) },
 		OnChange: func() {},
 	})
 	log := logrus.New()
--- a/internal/control/policyserver/config.go
+++ b/internal/control/policyserver/config.go
@@ -9,6 +9,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"yokeroute/internal/millis"
 )
 
 // Default durations of a configuration, and the minimum ratio of the lease to the heartbeat interval.
@@ -60,14 +62,11 @@
 		return fmt.Errorf("has %d peers; use an odd number, as one server fewer tolerates as many failures", len(c.Peers))
 	case c.Lease < minHeartbeatsPerLease*c.Heartbeat:
 		return fmt.Errorf("lease of %g ms is too short for a heartbeat every %g ms; it must last ten heartbeats at least",
-			milliseconds(c.Lease), milliseconds(c.Heartbeat))
+			millis.Of(c.Lease), millis.Of(c.Heartbeat))
 	}
 	return nil
 }
 
-// milliseconds returns a duration in milliseconds, the unit of configuration files and of package logic/policy.
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 // duration converts milliseconds to a time.Duration.
 func duration(milliseconds float64) time.Duration {
 	return time.Duration(math.Round(milliseconds * float64(time.Millisecond)))
--- a/internal/control/policyserver/directives.go
+++ b/internal/control/policyserver/directives.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"yokeroute/internal/config/directive"
+	"yokeroute/internal/millis"
 )
 
 const intro = "Configuration of one policy server of a fleet: `yokeroute policy-server FILE`. " +
@@ -89,8 +90,8 @@
 			"After that, a gatherer that is cut off applies its floor; a change waits that long for an absent gatherer.",
 		Example: "lease 10s limit 1min",
 		Apply: func(v *directive.Values) error {
-			c.Lease = duration(v.Number("time", milliseconds(defaultLease)))
-			c.ChangeTimeout = duration(v.Number("limit", milliseconds(defaultChangeTimeout)))
+			c.Lease = duration(v.Number("time", millis.Of(defaultLease)))
+			c.ChangeTimeout = duration(v.Number("limit", millis.Of(defaultChangeTimeout)))
 			return nil
 		},
 	}
@@ -105,7 +106,7 @@
 			"after ten missed heartbeats another leader is elected.",
 		Example: "beat 100ms",
 		Apply: func(v *directive.Values) error {
-			c.Heartbeat = duration(v.Number("time", milliseconds(defaultHeartbeat)))
+			c.Heartbeat = duration(v.Number("time", millis.Of(defaultHeartbeat)))
 			return nil
 		},
 	}
--- a/internal/control/policyserver/leadership.go
+++ b/internal/control/policyserver/leadership.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"yokeroute/internal/millis"
 	"yokeroute/logic/policy"
 )
 
@@ -22,7 +23,7 @@
 	s.leader = nil
 	if isLeader {
 		record, _ := s.fsm.current()
-		s.leader = policy.NewLeader(record, milliseconds(s.config.Lease), milliseconds(s.config.ChangeTimeout), s.now())
+		s.leader = policy.NewLeader(record, millis.Of(s.config.Lease), millis.Of(s.config.ChangeTimeout), s.now())
 	}
 	s.log.WithField("leader", isLeader).Info("policy server: leadership changed")
 }
--- a/internal/control/policyserver/server.go
+++ b/internal/control/policyserver/server.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"yokeroute/internal/httpserver"
+	"yokeroute/internal/millis"
 	"yokeroute/logic/policy"
 )
 
@@ -116,7 +117,7 @@
 func (s *Server) verifyLeader() error { return s.replica.Load().VerifyLeader().Error() }
 
 // now returns the time since the server's start by the monotonic clock, in milliseconds.
-func (s *Server) now() float64 { return milliseconds(time.Since(s.startedAt)) }
+func (s *Server) now() float64 { return millis.Of(time.Since(s.startedAt)) }
 
 // Run serves until ctx is done, answers the requests that have arrived by then, and closes the server.
 func (s *Server) Run(ctx context.Context) (err error) {
--- a/internal/control/rollout/directives.go
+++ b/internal/control/rollout/directives.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"yokeroute/internal/config/directive"
+	"yokeroute/internal/millis"
 	"yokeroute/logic/rollout"
 )
 
@@ -71,8 +72,7 @@
 
 // durationOr returns the duration of a field, or defaultValue, which may be 0, if the field is not set.
 func durationOr(v *directive.Values, field string, defaultValue time.Duration) time.Duration {
-	ms := v.Number(field, float64(defaultValue)/float64(time.Millisecond))
-	return time.Duration(ms * float64(time.Millisecond))
+	return millis.Duration(v.Number(field, millis.Of(defaultValue)))
 }
 
 func (p *Plan) rolloutDirective() *directive.Directive {
--- a/internal/control/rollout/htmlreport.go
+++ b/internal/control/rollout/htmlreport.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"yokeroute/internal/htmlreport"
+	"yokeroute/internal/millis"
 	"yokeroute/logic/rollout"
 )
 
@@ -95,7 +96,7 @@
 
 // minutesSinceStart returns the time from the first sample to sample i, in minutes.
 func minutesSinceStart(samples []Sample, i int) float64 {
-	return (samples[i].ObservedAt - samples[0].ObservedAt) / milliseconds(time.Minute)
+	return (samples[i].ObservedAt - samples[0].ObservedAt) / millis.Of(time.Minute)
 }
 
 // stageMarks returns the marks of the times at which each stage, and a rollback, began.
--- a/internal/control/rollout/status.go
+++ b/internal/control/rollout/status.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"time"
 
+	"yokeroute/internal/millis"
 	"yokeroute/internal/storage/runfolder"
 	"yokeroute/logic/rollout"
 )
@@ -152,7 +153,7 @@
 // sampleOf returns the line of the history for a status.
 func (c *Controller) sampleOf(s *Status) Sample {
 	sample := Sample{ObservedAt: s.ObservedAt, Phase: s.Phase, Stage: s.Stage, Reason: s.Reason, Classes: s.Classes}
-	maxAge := 1.5*milliseconds(c.plan.Interval) + milliseconds(staleness)
+	maxAge := 1.5*millis.Of(c.plan.Interval) + millis.Of(staleness)
 	for _, g := range s.Gatherers {
 		switch {
 		case g.LastReportAt == 0 || s.ObservedAt-g.LastReportAt > maxAge:
@@ -166,8 +167,6 @@
 	return sample
 }
 
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 // ReadStatus reads the last status of a rollout's folder.
 func ReadStatus(folder string) (*Status, error) {
 	file := filepath.Join(folder, statusFile)
--- a/internal/gatherer/background/background.go
+++ b/internal/gatherer/background/background.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 
+	"yokeroute/internal/millis"
 	"yokeroute/logic/jobs"
 )
 
@@ -62,7 +63,7 @@
 	start := time.Now()
 	return &Scheduler{
 		log:          log,
-		now:          func() float64 { return float64(time.Since(start)) / float64(time.Millisecond) },
+		now:          func() float64 { return millis.Of(time.Since(start)) },
 		wakeups:      make(chan struct{}, 1),
 		queue:        jobs.New(0, jobs.Budget{Share: share, Burst: burstLength, Slice: sliceLength}),
 		tasks:        map[uint64]*task{},
@@ -146,7 +147,7 @@
 	if idle < 0 {
 		return 0, nil, slice{}, maxIdle
 	}
-	return 0, nil, slice{}, time.Duration(idle * float64(time.Millisecond))
+	return 0, nil, slice{}, millis.Duration(idle)
 }
 
 // cancelStarted cancels the tasks that have started and waits for them to return.
--- a/internal/gatherer/discovery/watcher.go
+++ b/internal/gatherer/discovery/watcher.go
@@ -14,6 +14,7 @@
 	"yokeroute/internal/gatherer/shardcall"
 	"yokeroute/internal/httpfetch"
 	"yokeroute/internal/inflight"
+	"yokeroute/internal/millis"
 	"yokeroute/logic/backoff"
 )
 
@@ -284,8 +285,7 @@
 		return
 	}
 	w.consecutiveFailures++
-	milliseconds := backoff.Pause(w.consecutiveFailures, rand.Float64())
-	w.pause(time.Duration(milliseconds*float64(time.Millisecond)), false)
+	w.pause(millis.Duration(backoff.Pause(w.consecutiveFailures, rand.Float64())), false)
 }
 
 // pause makes no request for a duration. If mayEnd is set, RefreshRequested ends the pause.
--- a/internal/gatherer/dispatch/nonidempotent.go
+++ b/internal/gatherer/dispatch/nonidempotent.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"yokeroute/gather"
+	"yokeroute/internal/millis"
 	"yokeroute/logic/ownership"
 )
 
@@ -86,7 +87,7 @@
 // cannot be recorded, or not in time, or its client disconnects.
 func (p *Picker) awaitRecord(ctx context.Context, query *Query, record *record) (result Result, ended bool) {
 	remaining := query.Deadline - deadlineMarginRounds*p.schedule.interval - p.Now()
-	timer := time.NewTimer(time.Duration(remaining * float64(time.Millisecond)))
+	timer := time.NewTimer(millis.Duration(remaining))
 	defer timer.Stop()
 	rejected := Result{Kind: Rejected, RetryAfter: p.records.retryAfter[query.Class]}
 	select {
--- a/internal/gatherer/dispatch/round.go
+++ b/internal/gatherer/dispatch/round.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"yokeroute/gather"
+	"yokeroute/internal/millis"
 )
 
 // Actions lists what the network layer must carry out after a round, in the order of the fields.
@@ -59,7 +60,7 @@
 		}
 		var due <-chan time.Time
 		if !math.IsInf(dueAt, 1) {
-			timer.Reset(time.Duration((dueAt-now)*float64(time.Millisecond)) + 1)
+			timer.Reset(millis.Duration(dueAt-now) + 1)
 			due = timer.C
 		}
 		select {
--- a/internal/gatherer/frontend/handler.go
+++ b/internal/gatherer/frontend/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"yokeroute/internal/gatherer/dispatch"
+	"yokeroute/internal/millis"
 	"yokeroute/logic/fairqueue"
 )
 
@@ -90,7 +91,7 @@
 	now := s.picker.Now()
 	sentAt := now // the timeout runs from the request's first byte, which may have arrived long before its last
 	if conn != nil {
-		sentAt -= float64(conn.arrivingFor()) / float64(time.Millisecond)
+		sentAt -= millis.Of(conn.arrivingFor())
 	}
 	query, err := s.limits.parseHead(r, sentAt)
 	if err != nil {
@@ -98,9 +99,9 @@
 	}
 	if end := s.shutdown.end.Load(); end != nil {
 		remaining := time.Until(*end) - answerMargin
-		query.Deadline = min(query.Deadline, now+float64(remaining)/float64(time.Millisecond))
+		query.Deadline = min(query.Deadline, now+millis.Of(remaining))
 	}
-	deadline := time.Now().Add(time.Duration((query.Deadline - now) * float64(time.Millisecond)))
+	deadline := time.Now().Add(millis.Duration(query.Deadline - now))
 	reserved := &reservation{limiter: &s.memory}
 	defer reserved.shrink(0)
 	body, err := readBody(w, r, rc, deadline, reserved)
--- a/internal/gatherer/frontend/request.go
+++ b/internal/gatherer/frontend/request.go
@@ -16,6 +16,7 @@
 
 	"yokeroute/gather"
 	"yokeroute/internal/gatherer/dispatch"
+	"yokeroute/internal/millis"
 	"yokeroute/logic"
 )
 
@@ -69,7 +70,7 @@
 		retryAfter:   map[string]float64{},
 	}
 	for _, class := range settings.Classes {
-		l.maxDeadline = max(l.maxDeadline, time.Duration(class.Deadline*float64(time.Millisecond)))
+		l.maxDeadline = max(l.maxDeadline, millis.Duration(class.Deadline))
 		l.retryAfter[class.Name] = logic.LateRetryAfter(settings, &class)
 		if class.Effect == gather.IdempotencyKeyed {
 			l.keyedClasses[class.Name] = true
--- a/internal/gatherer/frontend/turns.go
+++ b/internal/gatherer/frontend/turns.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"yokeroute/internal/millis"
 	"yokeroute/logic/fairqueue"
 )
 
@@ -42,9 +43,7 @@
 	return t
 }
 
-func (t *turnQueue) now() float64 { return milliseconds(time.Since(t.startedAt)) }
-
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+func (t *turnQueue) now() float64 { return millis.Of(time.Since(t.startedAt)) }
 
 func (t *turnQueue) setProcessors(processors int) {
 	t.mu.Lock()
@@ -86,7 +85,7 @@
 		return
 	}
 	delete(t.holders, f)
-	t.queue.Finish(f, t.now(), milliseconds(time.Since(began)))
+	t.queue.Finish(f, t.now(), millis.Of(time.Since(began)))
 	t.grantLocked()
 }
 
@@ -115,7 +114,7 @@
 // expire ends the turns that have taken too long.
 func (t *turnQueue) expire(now float64) {
 	for f, grantedAt := range t.holders {
-		if took := now - grantedAt; took >= milliseconds(maxTurnDuration) {
+		if took := now - grantedAt; took >= millis.Of(maxTurnDuration) {
 			delete(t.holders, f)
 			t.queue.Finish(f, now, took)
 		}
@@ -129,9 +128,9 @@
 	}
 	at := t.queue.NextAt(now)
 	for _, grantedAt := range t.holders {
-		at = min(at, grantedAt+milliseconds(maxTurnDuration))
+		at = min(at, grantedAt+millis.Of(maxTurnDuration))
 	}
-	t.timer.Reset(time.Duration(max(at-now, 0)*float64(time.Millisecond)) + 1)
+	t.timer.Reset(millis.Duration(max(at-now, 0)) + 1)
 }
 
 // turn is the turn of a connection. Only the goroutine that serves the connection uses it.
--- a/internal/gatherer/plans/plans.go
+++ b/internal/gatherer/plans/plans.go
@@ -19,6 +19,7 @@
 	"yokeroute/internal/config/placementfile"
 	"yokeroute/internal/gatherer/background"
 	"yokeroute/internal/gatherer/shardcall"
+	"yokeroute/internal/millis"
 	"yokeroute/logic/balance"
 	"yokeroute/logic/jobs"
 	"yokeroute/logic/placement"
@@ -238,7 +239,7 @@
 		k.timer.Stop()
 	}
 	if !math.IsInf(s.ValidUntil, 1) {
-		k.timer = time.AfterFunc(time.Duration((s.ValidUntil-now)*float64(time.Millisecond))+time.Millisecond, func() {
+		k.timer = time.AfterFunc(millis.Duration(s.ValidUntil-now)+time.Millisecond, func() {
 			k.mu.Lock()
 			defer k.mu.Unlock()
 			k.applyWeights()
--- a/internal/gatherer/shardcall/attempt.go
+++ b/internal/gatherer/shardcall/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"yokeroute/internal/gatherer/dispatch"
+	"yokeroute/internal/millis"
 )
 
 // attempt is the state of an attempt from its decision to its end. The pool's lock guards it.
@@ -23,7 +24,7 @@
 	a := &attempt{decision: decision, id: decision.ID(), server: p.servers[decision.Server]}
 	p.attempts[decision] = a
 	if a.server != nil {
-		a.timeout = time.AfterFunc(milliseconds(decision.Timeout), func() {
+		a.timeout = time.AfterFunc(millis.Duration(decision.Timeout), func() {
 			p.cancel(decision, TimedOut, errTimedOut)
 		})
 	}
--- a/internal/gatherer/shardcall/healthcheck.go
+++ b/internal/gatherer/shardcall/healthcheck.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"yokeroute/gather"
+	"yokeroute/internal/millis"
 )
 
 // maxPendingChecks limits the unanswered health checks of a connection. Answers have no ID and are matched by order,
@@ -60,7 +61,7 @@
 	}
 	result := parseLoadReport(report)
 	result.Server = check.server
-	result.Elapsed = float64(time.Since(check.startedAt)) / float64(time.Millisecond)
+	result.Elapsed = millis.Of(time.Since(check.startedAt))
 	p.reporter.ReportHealthCheck(result)
 }
 
--- a/internal/gatherer/shardcall/pool.go
+++ b/internal/gatherer/shardcall/pool.go
@@ -15,6 +15,7 @@
 
 	"yokeroute/gather"
 	"yokeroute/internal/gatherer/dispatch"
+	"yokeroute/internal/millis"
 )
 
 // defaultConnectTimeout is used if the settings have no ConnectTimeout. The connect timeout also limits the write of a
@@ -106,11 +107,11 @@
 func newLimits(settings *gather.Settings, maxConns int) limits {
 	l := limits{
 		maxConns:         maxConns,
-		connectTimeout:   milliseconds(settings.ConnectTimeout),
+		connectTimeout:   millis.Duration(settings.ConnectTimeout),
 		idleTimeout:      math.MaxInt64,
 		silenceTimeout:   math.MaxInt64,
 		followingWait:    defaultFollowingWait,
-		drainGrace:       milliseconds(settings.DrainGrace),
+		drainGrace:       millis.Duration(settings.DrainGrace),
 		hedgingAllowed:   settings.HedgingAllowed,
 		requestsPerFrame: max(settings.RequestsPerCall, 1),
 		streamsPerConn:   settings.StreamsPerConnection,
@@ -123,16 +124,16 @@
 	}
 	// A server closes a connection that has been idle for IdleTimeout. The pool closes it one connect timeout
 	// earlier, or after half of IdleTimeout if that is later, so that no frame is written while the server closes it.
-	if idle := milliseconds(settings.IdleTimeout); idle > 0 {
+	if idle := millis.Duration(settings.IdleTimeout); idle > 0 {
 		l.idleTimeout = max(idle-l.connectTimeout, idle/2)
 	}
 	// A connection to a machine that has vanished stays open and receives nothing. Only a new connection shows
 	// whether the server can be reached.
 	if silence := dispatch.SilenceTimeout(settings); silence < maxMilliseconds {
-		l.silenceTimeout = milliseconds(silence)
+		l.silenceTimeout = millis.Duration(silence)
 	}
 	for i := range settings.Classes {
-		l.lateAnswerWindow = max(l.lateAnswerWindow, 2*milliseconds(settings.Classes[i].Deadline))
+		l.lateAnswerWindow = max(l.lateAnswerWindow, 2*millis.Duration(settings.Classes[i].Deadline))
 	}
 	return l
 }
@@ -140,8 +141,6 @@
 // maxMilliseconds is larger than any timeout, and fits into a time.Duration.
 const maxMilliseconds = 1e9
 
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
-
 // Connections returns the number of open connections, and the number opened since the start.
 func (p *Pool) Connections() (open int, opened int64) {
 	p.mu.Lock()
--- a/internal/gatherer/shardcall/writer.go
+++ b/internal/gatherer/shardcall/writer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"yokeroute/gather"
+	"yokeroute/internal/millis"
 )
 
 // minRemaining is the smallest remaining time, in milliseconds, that a request can state.
@@ -114,7 +115,7 @@
 		}
 		c.inFlight[a.id] = a
 		allowed = append(allowed, a)
-		maxRemaining = max(maxRemaining, milliseconds(a.decision.Remaining()))
+		maxRemaining = max(maxRemaining, millis.Duration(a.decision.Remaining()))
 	}
 	if len(allowed) > 0 {
 		c.writeDeadline = time.Now().Add(maxRemaining)
--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"yokeroute/internal/millis"
 	"yokeroute/logic/hedging"
 )
 
@@ -77,15 +78,13 @@
 func (s *Set[Info, Response]) evict(now time.Time) {
 	startedAt := make([]float64, len(s.requests))
 	for i, r := range s.requests {
-		startedAt[i] = -milliseconds(now.Sub(r.StartedAt))
+		startedAt[i] = -millis.Of(now.Sub(r.StartedAt))
 	}
 	i := hedging.Evict(startedAt, 0)
 	s.requests[i].cancel()
 	s.requests = slices.Delete(s.requests, i, i+1)
 }
 
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 // Results returns the channel on which requests end. Each result has to be passed to Remove.
 func (s *Set[Info, Response]) Results() <-chan Result[Info, Response] { return s.results }
 
--- a/internal/testbed/processtest/fleet.go
+++ b/internal/testbed/processtest/fleet.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"yokeroute/internal/gatherer/discovery"
+	"yokeroute/internal/millis"
 	"yokeroute/internal/parallel"
 	"yokeroute/internal/pcg"
 	"yokeroute/internal/process"
@@ -202,7 +203,7 @@
 // see takes what a server tells of a part.
 func (f *Fleet) see(id uint32, seen shardserver.Event) {
 	e := rulecheck.Event{
-		At:        float64(seen.At.UnixNano()) / float64(time.Millisecond),
+		At:        millis.Of(time.Duration(seen.At.UnixNano())),
 		Kind:      rulecheck.EventKind(seen.Kind),
 		Server:    id,
 		Shard:     seen.Shard,
--- a/internal/testbed/processtest/front.go
+++ b/internal/testbed/processtest/front.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"yokeroute/internal/millis"
 	"yokeroute/internal/pcg"
 )
 
@@ -177,7 +178,7 @@
 func (f *Front) watchReadiness(target *frontTarget) {
 	tick := time.NewTicker(readinessInterval)
 	defer tick.Stop()
-	notice := milliseconds(f.fleet.Scenario.Clients.Notice)
+	notice := millis.Duration(f.fleet.Scenario.Clients.Notice)
 	for {
 		select {
 		case <-f.ctx.Done():
--- a/internal/testbed/processtest/operation.go
+++ b/internal/testbed/processtest/operation.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"yokeroute/internal/millis"
 	"yokeroute/internal/pcg"
 	"yokeroute/internal/testbed/emulator"
 )
@@ -56,7 +57,7 @@
 // run tries until an operation has its answer, may not be repeated, or its time is up.
 func (f *Front) run(o *operation) {
 	startedAt := time.Now()
-	deadline := startedAt.Add(milliseconds(o.index.Hard))
+	deadline := startedAt.Add(millis.Duration(o.index.Hard))
 	earned := 0.0
 	for number := 0; ; number++ {
 		try, wait := f.try(o, number, startedAt, deadline)
@@ -102,12 +103,12 @@
 func (f *Front) try(o *operation, number int, startedAt, deadline time.Time) (try Try, wait time.Duration) {
 	clients := f.fleet.Scenario.Clients
 	try = Try{Name: fmt.Sprintf("%s-%d", o.name, number), Index: o.index.Name, StartedAt: time.Now(), Ending: Refused}
-	wait = milliseconds(clients.Wait)
+	wait = millis.Duration(clients.Wait)
 	target := f.choose(o.hall, o.chance.Float64())
 	if target == nil {
 		return try, wait
 	}
-	timeout := min(time.Until(deadline), milliseconds(o.index.Hard*o.patience))
+	timeout := min(time.Until(deadline), millis.Duration(o.index.Hard*o.patience))
 	if o.hurry > 0 {
 		timeout = min(timeout, o.hurry)
 	}
@@ -168,7 +169,7 @@
 	case Partial:
 		value = o.index.Gain * o.index.Partial * min(hits/o.index.Need, 1)
 	}
-	if since > milliseconds(o.index.Soft) {
+	if since > millis.Duration(o.index.Soft) {
 		value *= o.index.Late
 	}
 	return value
@@ -182,6 +183,3 @@
 	}
 	return time.Duration(seconds * float64(time.Second))
 }
-
-// milliseconds is a time of a scenario, which has milliseconds.
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/testbed/processtest/policyservers.go
+++ b/internal/testbed/processtest/policyservers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"yokeroute/internal/control/policyclient"
+	"yokeroute/internal/millis"
 	"yokeroute/internal/process"
 )
 
@@ -156,7 +157,7 @@
 }
 
 func millisecondsText(d time.Duration) string {
-	return fmt.Sprintf("%gms", float64(d)/float64(time.Millisecond))
+	return fmt.Sprintf("%gms", millis.Of(d))
 }
 
 // Start starts a process of the server and does not wait for it.
--- a/internal/testbed/processtest/restarts.go
+++ b/internal/testbed/processtest/restarts.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"yokeroute/internal/millis"
 	"yokeroute/internal/process"
 )
 
@@ -21,7 +22,7 @@
 func (s *Scenario) killDelay() time.Duration {
 	longest := time.Duration(0)
 	for i := range s.Indexes {
-		longest = max(longest, time.Duration(s.Indexes[i].Hard*float64(time.Millisecond)))
+		longest = max(longest, millis.Duration(s.Indexes[i].Hard))
 	}
 	return min(longest, maxKillDeadline) + killMargin
 }
--- a/internal/testbed/scale/figures.go
+++ b/internal/testbed/scale/figures.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"time"
+
+	"yokeroute/internal/millis"
 )
 
 // Progress is told of each measurement before it begins.
 type Progress func(format string, args ...any)
 
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 // newFigure is a figure without measurements.
 func newFigure(name, per, unit string, design, budget float64) *Figure {
 	return &Figure{Name: name, Per: per, Unit: unit, Design: design, Budget: budget}
@@ -36,8 +35,8 @@
 	processor := newFigure("decisions: processor time a query", per, "ms", design, 0)
 	cores := newFigure("decisions: cores", per, "cores", design, 0)
 	allocated := newFigure("decisions: allocations a query", per, "", design, 0)
-	longest := newFigure("decisions: longest round", per, "ms", design, milliseconds(BudgetAnswer))
-	landing := newFigure("decisions: round in which a query lands, p99", per, "ms", design, milliseconds(BudgetAnswer))
+	longest := newFigure("decisions: longest round", per, "ms", design, millis.Of(BudgetAnswer))
+	landing := newFigure("decisions: round in which a query lands, p99", per, "ms", design, millis.Of(BudgetAnswer))
 	memory := newFigure("decisions: heap", per, "MB", design, 0)
 	for _, s := range servers {
 		for _, p := range parts {
@@ -51,11 +50,11 @@
 			if per == "part" {
 				size = float64(p)
 			}
-			processor.add(size, milliseconds(c.Processor))
+			processor.add(size, millis.Of(c.Processor))
 			cores.add(size, c.Processor.Seconds()*t.Rate)
 			allocated.add(size, c.Allocated)
-			longest.add(size, milliseconds(c.LongestRound))
-			landing.add(size, milliseconds(c.QueryRoundP99))
+			longest.add(size, millis.Of(c.LongestRound))
+			landing.add(size, millis.Of(c.QueryRoundP99))
 			memory.add(size, float64(c.HeapBytes)/(1<<20))
 		}
 	}
@@ -143,11 +142,11 @@
 		atBudget.add(size, float64(c.FullBytes)/BudgetControlBytes)
 		zone.add(size, float64(c.ZoneBytes))
 		zoneAtBudget.add(size, float64(c.ZoneBytes)/BudgetControlBytes)
-		startCPU.add(size, milliseconds(c.StartCPU))
+		startCPU.add(size, millis.Of(c.StartCPU))
 		startTold.add(size, c.StartTime.Seconds())
-		changeCPU.add(size, milliseconds(c.ChangeCPU))
+		changeCPU.add(size, millis.Of(c.ChangeCPU))
 		changeTold.add(size, c.ChangeTime.Seconds())
-		zoneCPU.add(size, milliseconds(c.ZoneCPU))
+		zoneCPU.add(size, millis.Of(c.ZoneCPU))
 		zoneTold.add(size, c.ZoneTime.Seconds())
 		returned.add(size, c.RecoveryTime.Seconds())
 		memory.add(size, float64(c.Memory)/(1<<20))
@@ -186,7 +185,7 @@
 		if err != nil {
 			return nil, err
 		}
-		each.add(float64(n), milliseconds(c.ProcessorTime)*float64(n))
+		each.add(float64(n), millis.Of(c.ProcessorTime)*float64(n))
 		bytes.add(float64(n), c.ReportBytes*float64(n))
 		took.add(float64(n), c.RoundTime.Seconds())
 	}
--- a/internal/testbed/standin/shardserver/task.go
+++ b/internal/testbed/standin/shardserver/task.go
@@ -4,6 +4,8 @@
 	"math"
 	"strings"
 	"time"
+
+	"yokeroute/internal/millis"
 )
 
 // garbledSummary is an unreadable answer to a first pass.
@@ -94,7 +96,7 @@
 		s.notify(eventRan, t.ShardRequest, t.firstPass, t.work)
 		s.busyCores++
 		took := t.work * s.slowdown
-		time.AfterFunc(time.Duration(took*float64(time.Millisecond)), func() { s.finishTask(t, took) })
+		time.AfterFunc(millis.Duration(took), func() { s.finishTask(t, took) })
 	}
 }
 
--- a/internal/tlskeys/accesscontrol.go
+++ b/internal/tlskeys/accesscontrol.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"yokeroute/internal/millis"
 	"yokeroute/logic/admission"
 )
 
@@ -53,7 +54,7 @@
 }
 
 func unixMilliseconds(t time.Time) float64 {
-	return float64(t.UnixNano()) / float64(time.Millisecond)
+	return millis.Of(time.Duration(t.UnixNano()))
 }
 
 // UpdateRules applies other limits and rules. Connections that the new rules would not admit as they were admitted
--- a/internal/unixclock/unixclock.go
+++ b/internal/unixclock/unixclock.go
@@ -1,7 +1,11 @@
 // Package unixclock tells Unix time that is not moved by changes of the machine's clock.
 package unixclock
 
-import "time"
+import (
+	"time"
+
+	"yokeroute/internal/millis"
+)
 
 // Clock tells Unix time in milliseconds as of its creation, advanced by the monotonic clock: its times compare with those
 // of other machines, and spans between them are spans of real time.
@@ -17,10 +21,8 @@
 }
 
 func newClock(now time.Time, elapsed func() time.Duration) Clock {
-	return Clock{startedAt: milliseconds(time.Duration(now.UnixNano())), elapsed: elapsed}
+	return Clock{startedAt: millis.Of(time.Duration(now.UnixNano())), elapsed: elapsed}
 }
 
 // Now returns the time in Unix milliseconds.
-func (c Clock) Now() float64 { return c.startedAt + milliseconds(c.elapsed()) }
-
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+func (c Clock) Now() float64 { return c.startedAt + millis.Of(c.elapsed()) }
