Discovery: long polls of the agent on the same machine always overlap

Seen, by a test written in a last look at the class: an agent responds at once until one response stops for good, as a server begins to drain, and takes over 3 s for all later ones. The drain was known after 6.2 to 7.6 s, not within 6 s.

Cause: long polls overlapped only once a response had come late. Until then the one poll that stopped for good held up the next request for 3 s.

As two polls now report the same change, a response that goes no further than what has been accepted since its request is ignored, as an older one was.

--- a/internal/gatherer/discovery/requests.go
+++ b/internal/gatherer/discovery/requests.go
@@ -23,10 +23,11 @@
 	fullListHedgeDelay = 100 * time.Millisecond
 	// transferHedgeDelay is the delay instead if a response has begun to arrive.
 	transferHedgeDelay = time.Second
-	// agentWatchHedgeDelay and serviceWatchHedgeDelay are the delays before another long poll is made beside one of a slow
-	// agent on the same machine, and of a slow shared service. They are less than watchDuration, so that one without a
-	// response leaves no gap, or a short one, between the others.
-	agentWatchHedgeDelay   = time.Second
+	// agentWatchHedgeDelay is the delay before another long poll to the agent on the same machine is made beside one
+	// without a response. It is less than watchDuration, so that one that never gets a response leaves no gap between
+	// the others.
+	agentWatchHedgeDelay = time.Second
+	// serviceWatchHedgeDelay is the delay with a shared service, which answers few requests a second, once it is slow.
 	serviceWatchHedgeDelay = 1250 * time.Millisecond
 	// fullListSpacing is how much later than an answered request another one for the full list must have been made to
 	// stay in flight. An agent that is only a little slow then sends few lists that are not needed.
@@ -51,8 +52,8 @@
 var (
 	// errStale reports that the agent is behind the known revision, so that only its full list can be used.
 	errStale = errors.New("discovery agent is behind the known revision")
-	// errOutdated reports a late response that is older than what has been accepted since its request was made.
-	errOutdated = errors.New("response is older than an accepted one")
+	// errOutdated reports a response with nothing newer than what has been accepted since its request was made.
+	errOutdated = errors.New("response is not newer than an accepted one")
 	// errNotFull reports a response with changes to a request for the full list.
 	errNotFull = errors.New("response contains changes, want the full list")
 )
@@ -93,23 +94,17 @@
 	return maxAgentRequests
 }
 
-// watchHedgeDelay returns the delay between long polls of a slow agent.
-func (c *Config) watchHedgeDelay() time.Duration {
-	if c.SharedService {
-		return serviceWatchHedgeDelay
-	}
-	return agentWatchHedgeDelay
-}
-
 // nextRequestAt returns when the next request is due, or the zero time if none is before the poll ends.
 func (w *Watcher) nextRequestAt() time.Time {
 	var due time.Time
 	switch newest := w.poll.newest; {
 	case newest == nil:
 		due = time.Now()
+	case newest.Info.watch && !w.config.SharedService:
+		due = newest.StartedAt.Add(agentWatchHedgeDelay)
 	case newest.Info.watch && w.slow:
-		due = newest.StartedAt.Add(w.config.watchHedgeDelay())
-	case newest.Info.watch || w.config.SharedService:
+		due = newest.StartedAt.Add(serviceWatchHedgeDelay)
+	case w.config.SharedService:
 		return time.Time{}
 	case newest.Responding():
 		due = newest.StartedAt.Add(transferHedgeDelay)
@@ -198,7 +193,7 @@
 		return errNotFull
 	case r.Revision < request.Info.revision:
 		return fmt.Errorf("%w: the change has revision %d, the known list %d", errStale, r.Revision, known)
-	case r.Revision < known:
+	case r.Revision <= known && request.Info.revision < known:
 		return errOutdated
 	}
 	return nil
--- a/internal/gatherer/discovery/watcher.go
+++ b/internal/gatherer/discovery/watcher.go
@@ -31,7 +31,7 @@
 	// RefreshRequested holds a value when a list is wanted before the next regular poll. It may be nil.
 	RefreshRequested <-chan struct{}
 	// SharedService says that requests go to a service that all gatherers share, not to an agent on the same machine.
-	// To limit its load, requests are then hedged only after a failure, with backoff.
+	// To limit its load, requests are then hedged only after a failure or a late response.
 	SharedService bool
 	Log           *logrus.Logger
 }
