Discovery: an earlier list does not cancel the recheck

Cause, by a trace of a failing run: the recheck was due at 10.55 s and made at 10.62 s. A list requested at 10.21 s was answered at 14.71 s. It cancelled all lists requested up to 0.5 s later, the recheck among them, though it could not stand in for that; the next recheck was made at 14.71 s. No load is needed for that, only requests that close.

Change: a response replaces a recheck only if it answers a recheck itself.

TestRecheckIsNotSupersededByEarlierList fails before and passes.

--- a/internal/gatherer/discovery/recheck.go
+++ b/internal/gatherer/discovery/recheck.go
@@ -38,9 +38,13 @@
 	return true
 }
 
-// isRecheckBeside reports whether a request is a recheck that the response to a long poll does not replace.
+// isRecheckBeside reports whether a request is a recheck that the response to another request does not replace: that of a
+// long poll, or a list that was requested before the recheck was due.
 func (w *Watcher) isRecheckBeside(answered, other *requestInFlight) bool {
-	return answered.Info.watch && !other.Info.watch && w.isRecheck(other.StartedAt)
+	if other.Info.watch || !w.isRecheck(other.StartedAt) {
+		return false
+	}
+	return answered.Info.watch || !w.isRecheck(answered.StartedAt)
 }
 
 // recheckIfDue makes the next poll request the full list if a recheck is due and has not been requested recently.
--- a/internal/gatherer/discovery/slowagent_test.go
+++ b/internal/gatherer/discovery/slowagent_test.go
@@ -1,9 +1,11 @@
 package discovery
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -178,6 +180,35 @@
 	expectState(t, changes, gather.Running, maxRecheckDelay+2*responseTime-maxListAge)
 }
 
+// TestRecheckIsNotSupersededByEarlierList guards against a server that gets no request for seconds longer: the response to
+// a list that was requested just before the recheck was due cancelled the recheck.
+func TestRecheckIsNotSupersededByEarlierList(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	watcher := New(Config{OnChange: func(gather.EndpointList, []shardcall.Address) {}, Log: log})
+	defer watcher.requests.Close()
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	start := func(at time.Time) *requestInFlight {
+		r := watcher.requests.Start(ctx, requestInfo{}, func(ctx context.Context, _ *requestInFlight) (*Response, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		r.StartedAt = at
+		return r
+	}
+	watcher.recheckAt = time.Now().Add(-time.Second)
+	earlier := start(watcher.recheckAt.Add(-fullListSpacing / 4))
+	recheck := start(watcher.recheckAt.Add(fullListSpacing / 4))
+	if !watcher.requests.Remove(earlier) {
+		t.Fatal("the earlier request is not in flight")
+	}
+	watcher.handleResult(inflight.Result[requestInfo, *Response]{Request: earlier, Response: knownList(t)})
+	if !slices.Contains(watcher.requests.Requests(), recheck) {
+		t.Error("the recheck is no longer in flight")
+	}
+}
+
 // TestStoppedResponsesDoNotDelaySlowOnes guards against requests that stop for good, before or within their responses,
 // beside others to which the agent responds late: they must not take the places of those.
 func TestStoppedResponsesDoNotDelaySlowOnes(t *testing.T) {
