Read again: one function to fetch a document; the policy client converts by millis

httpfetch.Get served only the segment map, with two of its arguments empty; that calls Decode now, as discovery does, and Get goes. The policy client spelt out the two conversions that package millis has. No behaviour changes; the tests keep their assertions.

--- a/internal/control/policyclient/client.go
+++ b/internal/control/policyclient/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"yokeroute/internal/control/policyapi"
+	"yokeroute/internal/millis"
 	"yokeroute/logic/policy"
 	"yokeroute/logic/responsetimeout"
 )
@@ -39,11 +40,11 @@
 // call sends a request to each server in turn, for several rounds, until the leader responds.
 func call[T any](ctx context.Context, c *Client, method, path string, request any) (*T, error) {
 	timeout := responsetimeout.Timeout{
-		Min: float64(minAttemptTimeout.Milliseconds()),
-		Max: float64(maxAttemptTimeout.Milliseconds()),
+		Min: millis.Of(minAttemptTimeout),
+		Max: millis.Of(maxAttemptTimeout),
 	}
 	for round := 0; ; round++ {
-		attemptTimeout := time.Duration(timeout.Current()) * time.Millisecond
+		attemptTimeout := millis.Duration(timeout.Current())
 		response, failures, err := callEach[T](ctx, c.Servers, attemptTimeout, method, path, request)
 		if response != nil || err != nil {
 			return response, err
--- a/internal/control/segments/watcher.go
+++ b/internal/control/segments/watcher.go
@@ -135,11 +135,8 @@
 		url += fmt.Sprintf("?after=%d&wait=%d", info.epoch, watchDuration.Milliseconds())
 	}
 	w.newest = w.requests.Start(ctx, info, func(ctx context.Context, _ *requestInFlight) (*Response, error) {
-		body, err := httpfetch.Get(ctx, w.client, url, httpfetch.Limits{MaxBytes: maxBodyBytes}, nil)
-		if err != nil {
-			return nil, err
-		}
-		response, err := ParseResponse(body)
+		limits := httpfetch.Limits{MaxBytes: maxBodyBytes}
+		response, err := httpfetch.Decode(ctx, w.client, url, limits, nil, ParseResponse)
 		if err == nil && info.epoch == 0 && response.Full == nil {
 			return nil, errNotFull
 		}
--- a/internal/httpfetch/httpfetch.go
+++ b/internal/httpfetch/httpfetch.go
@@ -40,14 +40,8 @@
 	Quota    *Quota // shared with other downloads; nil means none
 }
 
-// Get requests a document and returns its whole body. onHeader, if not nil, is called once the header has arrived.
-func Get(ctx context.Context, client *http.Client, url string, limits Limits, onHeader func()) ([]byte, error) {
-	identity := func(body []byte) ([]byte, error) { return body, nil }
-	return Decode(ctx, client, url, limits, onHeader, identity)
-}
-
-// Decode requests a document, as Get does, and returns what decode makes of its whole body. The body counts against the
-// quota until decode returns.
+// Decode requests a document and returns what decode makes of its whole body, which counts against the quota until decode
+// returns. onHeader, if not nil, is called once the header has arrived.
 func Decode[T any](
 	ctx context.Context, client *http.Client, url string, limits Limits, onHeader func(),
 	decode func(body []byte) (T, error),
--- a/internal/httpfetch/httpfetch_test.go
+++ b/internal/httpfetch/httpfetch_test.go
@@ -12,6 +12,11 @@
 	"time"
 )
 
+// get returns a whole body.
+func get(ctx context.Context, client *http.Client, url string, limits Limits, onHeader func()) ([]byte, error) {
+	return Decode(ctx, client, url, limits, onHeader, func(body []byte) ([]byte, error) { return body, nil })
+}
+
 // TestGetEnforcesLimitsAndStatus checks the result for bodies at and over the size limit, an error status, a body that is
 // truncated, one that arrives in pieces with pauses, and those that stall or never end when the context ends.
 func TestGetEnforcesLimitsAndStatus(t *testing.T) {
@@ -67,7 +72,7 @@
 	} {
 		headerCalls := 0
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		body, err := Get(ctx, server.Client(), server.URL+c.path, c.limits, func() { headerCalls++ })
+		body, err := get(ctx, server.Client(), server.URL+c.path, c.limits, func() { headerCalls++ })
 		cancel()
 		if !c.isExpected(err) || string(body) != c.body || headerCalls != 1 {
 			t.Errorf("%s: body %q, error %v, onHeader called %d times", c.path, body, err, headerCalls)
@@ -92,13 +97,13 @@
 	var openErr error
 	var open sync.WaitGroup
 	open.Go(func() {
-		_, openErr = Get(t.Context(), server.Client(), server.URL+"/open", limits, func() { close(inTransfer) })
+		_, openErr = get(t.Context(), server.Client(), server.URL+"/open", limits, func() { close(inTransfer) })
 	})
 	<-inTransfer
 	for limits.Quota.used.Load() < size {
 		time.Sleep(time.Millisecond)
 	}
-	if _, err := Get(t.Context(), server.Client(), server.URL, limits, nil); !errors.Is(err, ErrQuotaExceeded) {
+	if _, err := get(t.Context(), server.Client(), server.URL, limits, nil); !errors.Is(err, ErrQuotaExceeded) {
 		t.Errorf("beside another download: error %v, want ErrQuotaExceeded", err)
 	}
 	close(finish)
@@ -106,7 +111,7 @@
 	if openErr != nil {
 		t.Errorf("the first download: %v", openErr)
 	}
-	if _, err := Get(t.Context(), server.Client(), server.URL, limits, nil); err != nil {
+	if _, err := get(t.Context(), server.Client(), server.URL, limits, nil); err != nil {
 		t.Errorf("after the first download: %v", err)
 	}
 }
@@ -120,16 +125,16 @@
 	}))
 	defer server.Close()
 	limits := Limits{MaxBytes: size, Quota: NewQuota(size + size/2)}
-	get := func() error {
-		_, err := Get(t.Context(), server.Client(), server.URL, limits, nil)
+	getError := func() error {
+		_, err := get(t.Context(), server.Client(), server.URL, limits, nil)
 		return err
 	}
 	var besideDecoding error
 	_, err := Decode(t.Context(), server.Client(), server.URL, limits, nil, func([]byte) (string, error) {
-		besideDecoding = get()
+		besideDecoding = getError()
 		return "", nil
 	})
-	if afterwards := get(); err != nil || !errors.Is(besideDecoding, ErrQuotaExceeded) || afterwards != nil {
+	if afterwards := getError(); err != nil || !errors.Is(besideDecoding, ErrQuotaExceeded) || afterwards != nil {
 		t.Errorf("while a body is decoded: error %v, want ErrQuotaExceeded; its own error %v, a later one %v, want none",
 			besideDecoding, err, afterwards)
 	}
