Front end: a connection does not stay in use after its last response

Clients saw 503 without Retry-After, or waited up to 0.23 s to be accepted, while others sent requests that are too large.

Cause: net/http sleeps 0.5 s after its response to such a request, before it closes the connection. Meanwhile the connection counted as carrying a request and as held, and clients that connect again at once reached both limits. Shown by the responses that refused clients got, which the test now keeps.

Change: CloseWrite, which net/http calls right before that sleep, ends the serving goroutine; Close then lets the connection linger as any other one. The test's report of the process's log no longer races with the process.

--- a/cmd/yokeroute/crossings_test.go
+++ b/cmd/yokeroute/crossings_test.go
@@ -30,15 +30,35 @@
 type program struct {
 	*exec.Cmd
 	address string
-	log     *bytes.Buffer
+	log     *outputBuffer
 	ended   chan error
 }
 
+// outputBuffer holds what a process writes. It may be read while the process runs.
+type outputBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *outputBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// String returns what has been written so far.
+func (b *outputBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // startProcess starts the program with a limit of file descriptors. It is killed at the end of the test at the
 // latest.
 func startProcess(t *testing.T, binary, config, address string, descriptors int, more ...string) *program {
 	t.Helper()
-	p := &program{address: address, log: &bytes.Buffer{}, ended: make(chan error, 1)}
+	p := &program{address: address, log: &outputBuffer{}, ended: make(chan error, 1)}
 	p.Cmd = exec.Command("sh", append([]string{
 		"-c", fmt.Sprintf("ulimit -n %d; exec \"$0\" serve --config \"$@\"", descriptors), binary, config,
 	}, more...)...)
--- a/cmd/yokeroute/fairness_test.go
+++ b/cmd/yokeroute/fairness_test.go
@@ -160,7 +160,8 @@
 
 // usualResult is how a usual query ended.
 type usualResult struct {
-	status  int // 0 without an answer
+	status  int    // 0 without an answer
+	refusal string // the header and body of a response other than 200
 	took    time.Duration
 	timeout time.Duration
 }
@@ -304,7 +305,7 @@
 			conn.Close()
 			return
 		}
-		result.status = f.readResponse(conn)
+		result.status, result.refusal = f.readResponse(conn)
 		if result.status != 0 || !kept {
 			break
 		}
@@ -333,21 +334,26 @@
 	return &usualConn{c, bufio.NewReader(c)}, false, nil
 }
 
-// readResponse returns the status of a response, 0 without one, and keeps the connection if it stays open.
-func (f *fairnessTarget) readResponse(conn *usualConn) (status int) {
+// readResponse returns the status of a response, 0 without one, and the text of one that refuses the query. It keeps the
+// connection if it stays open.
+func (f *fairnessTarget) readResponse(conn *usualConn) (status int, refusal string) {
 	resp, err := http.ReadResponse(conn.reader, nil)
 	if err != nil {
 		conn.Close()
-		return 0
+		return 0, ""
 	}
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+	body, err := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		refusal = fmt.Sprintf("%d, Retry-After %q, close %v: %q", resp.StatusCode, resp.Header.Get("Retry-After"), resp.Close, body)
+	}
+	if err != nil || resp.Close {
 		conn.Close()
-		return resp.StatusCode
+		return resp.StatusCode, refusal
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.idle = append(f.idle, conn)
-	return resp.StatusCode
+	return resp.StatusCode, refusal
 }
 
 // check checks that usual queries were answered in time, that most were served if they had to be, and that no attempt
@@ -357,6 +363,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	served, refused, late, silent := 0, 0, 0, 0
+	refusals := map[string]int{}
 	slices.SortFunc(f.results, func(a, b usualResult) int { return cmp.Compare(a.took, b.took) })
 	for _, r := range f.results {
 		switch r.status {
@@ -366,6 +373,7 @@
 			silent++
 		default:
 			refused++
+			refusals[r.refusal]++
 		}
 		if r.took > r.timeout+answerSlack {
 			late++
@@ -389,7 +397,7 @@
 		t.Errorf("%d of %d usual queries answered late, %d not at all", late, n, silent)
 	}
 	if servedToo && float64(served) < minServedShare*float64(n) {
-		t.Errorf("%d of %d usual queries served", served, n)
+		t.Errorf("%d of %d usual queries served; others by their responses: %v", served, n, refusals)
 	}
 	if after > 0 {
 		t.Errorf("%d attempts began more than %v after their client had left", after, departureSlack)
--- a/internal/gatherer/frontend/clientconn.go
+++ b/internal/gatherer/frontend/clientconn.go
@@ -332,12 +332,11 @@
 	return nil
 }
 
-// CloseWrite closes the connection for writing. net/http calls it, on the goroutine that serves the connection, before it
-// sleeps to let the client read the response; the turn must not last that long.
-func (c *clientConn) CloseWrite() error {
-	c.turn.end()
-	return c.TCPConn.CloseWrite()
-}
+// CloseWrite ends the goroutine that serves the connection; Close then closes it. net/http calls CloseWrite after the
+// last response, if the request was too large, and would sleep before it calls Close. Meanwhile the connection would
+// count as carrying a request. Nothing that follows the last response is skipped: net/http recovers from this panic and
+// ends the connection as after a return.
+func (c *clientConn) CloseWrite() error { panic(http.ErrAbortHandler) }
 
 // release ends the use of the connection by one of its users. After the last one it no longer counts as held.
 func (c *clientConn) release() {
--- a/internal/gatherer/frontend/conntracker_test.go
+++ b/internal/gatherer/frontend/conntracker_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -192,3 +193,36 @@
 	}
 	<-c.lingering.released()
 }
+
+// TestRejectedLargeRequestsLeaveRoomForQueries guards against queries that are rejected, or wait to be accepted, because
+// connections stay in use after their last response: net/http sleeps before it ends one whose request was too large.
+func TestRejectedLargeRequestsLeaveRoomForQueries(t *testing.T) {
+	const maxConns, rounds = 4, 8
+	chunk := "8000\r\n" + strings.Repeat("c", 0x8000) + "\r\n"
+	announced := "Content-Length: 60000000\r\n\r\n"
+	for name, tooLarge := range map[string]struct {
+		request string
+		status  int
+	}{
+		"head":           {"GET / HTTP/1.1\r\nHost: h\r\nX-Note: " + strings.Repeat("n", 2*maxHeaderBytes) + "\r\n\r\n", 431},
+		"body in chunks": {"POST /find HTTP/1.1\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat(chunk, 4), 413},
+		"announced body": {"POST /find HTTP/1.1\r\n" + headers + announced, 413},
+		"health check":   {"POST /-/healthy HTTP/1.1\r\nHost: h\r\n" + announced, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, _, address := startServer(t, maxConns, failed)
+			startedAt := time.Now()
+			for range rounds * HeldConns(maxConns) {
+				if status, _, _ := exchange(t, address, tooLarge.request, 1); status[0] != tooLarge.status {
+					t.Fatalf("status %d of a request that is too large, want %d", status[0], tooLarge.status)
+				}
+			}
+			if status, _, _ := exchange(t, address, post("/find", headers, shardsBody), 1); status[0] != 504 {
+				t.Errorf("status %d of a query, want 504", status[0])
+			}
+			if took := time.Since(startedAt); took > rounds*lingerTimeout/2 {
+				t.Errorf("took %v: each round has waited for connections to end", took)
+			}
+		})
+	}
+}
