Read again: one type keeps a process's output; a stale comment goes

The test of the whole program had got a locked buffer of its own for a process's log, beside the one in internal/process. Both use process.Output now, with the limit of 4 MiB that the latter had. The comment on lingerTimeout no longer speaks of the wait of net/http that ended.

No behaviour changes. Passed with the race detector: internal/process, cmd/yokeroute without the floods, rollout, policyclient, processtest, and the flood "too large" on its three machines.

--- a/cmd/yokeroute/crossings_test.go
+++ b/cmd/yokeroute/crossings_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +17,7 @@
 	"testing"
 	"time"
 
+	"yokeroute/internal/process"
 	"yokeroute/internal/testbed/processtest"
 	"yokeroute/internal/testbed/reservedport"
 	"yokeroute/internal/testbed/standin"
@@ -30,35 +30,15 @@
 type program struct {
 	*exec.Cmd
 	address string
-	log     *outputBuffer
+	log     *process.Output
 	ended   chan error
 }
 
-// outputBuffer holds what a process writes. It may be read while the process runs.
-type outputBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (b *outputBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
-// String returns what has been written so far.
-func (b *outputBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
-
 // startProcess starts the program with a limit of file descriptors. It is killed at the end of the test at the
 // latest.
 func startProcess(t *testing.T, binary, config, address string, descriptors int, more ...string) *program {
 	t.Helper()
-	p := &program{address: address, log: &outputBuffer{}, ended: make(chan error, 1)}
+	p := &program{address: address, log: &process.Output{}, ended: make(chan error, 1)}
 	p.Cmd = exec.Command("sh", append([]string{
 		"-c", fmt.Sprintf("ulimit -n %d; exec \"$0\" serve --config \"$@\"", descriptors), binary, config,
 	}, more...)...)
--- a/cmd/yokeroute/fairness_test.go
+++ b/cmd/yokeroute/fairness_test.go
@@ -161,7 +161,7 @@
 // usualResult is how a usual query ended.
 type usualResult struct {
 	status  int    // 0 without an answer
-	refusal string // the header and body of a response other than 200
+	refusal string // what a response other than 200 said
 	took    time.Duration
 	timeout time.Duration
 }
--- a/internal/gatherer/frontend/lingering.go
+++ b/internal/gatherer/frontend/lingering.go
@@ -7,8 +7,7 @@
 )
 
 // lingerTimeout is how long the server reads and discards what arrives on a connection that it has closed, before it
-// releases the descriptor: the last bytes of the response and the next ones of the client may cross. net/http uses the
-// same time in the cases in which it waits.
+// releases the descriptor: the last bytes of the response and the next ones of the client may cross.
 const lingerTimeout = 500 * time.Millisecond
 
 // lingeringConns holds the connections that the server has closed but whose descriptors are not yet released.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -1,7 +1,6 @@
 package process
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -24,8 +23,9 @@
 	startedAt time.Time
 	exited    chan struct{}
 
+	log Output
+
 	mu           sync.Mutex
-	log          bytes.Buffer
 	err          error // of its end
 	exitExpected bool  // its end was asked for
 	stopped      bool
@@ -57,7 +57,7 @@
 	p := &Process{Name: name, exited: make(chan struct{}), startedAt: time.Now()}
 	p.cmd = exec.Command(binary, args...)
 	p.cmd.Env = append(append(os.Environ(), "GORACE=halt_on_error=1 exitcode=66 atexit_sleep_ms=0"), env...)
-	p.cmd.Stdout, p.cmd.Stderr = logWriter{p}, logWriter{p}
+	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
 	p.cmd.ExtraFiles = files
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	started := make(chan error)
@@ -75,27 +75,8 @@
 	return p, nil
 }
 
-// logWriter keeps what a process writes.
-type logWriter struct{ p *Process }
-
-// maxLogBytes keeps a process that writes without end from filling the memory.
-const maxLogBytes = 4 << 20
-
-func (l logWriter) Write(b []byte) (int, error) {
-	l.p.mu.Lock()
-	defer l.p.mu.Unlock()
-	if l.p.log.Len() < maxLogBytes {
-		l.p.log.Write(b)
-	}
-	return len(b), nil
-}
-
 // Log returns what it has written so far.
-func (p *Process) Log() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.log.String()
-}
+func (p *Process) Log() string { return p.log.String() }
 
 // PID returns its number.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
@@ -247,8 +228,8 @@
 	for _, s := range p.signals {
 		fmt.Fprintf(&text, " %s (%.2f s ago)", unix.SignalName(s.signal), time.Since(s.at).Seconds())
 	}
-	logged := p.log.Len()
 	p.mu.Unlock()
+	logged := len(p.Log())
 	if err := p.Signal(syscall.SIGQUIT); err != nil {
 		return text.String() + "; it has ended since"
 	}
